--- /dev/null
+++ b/internal/cmdln/man.go
@@ -0,0 +1,25 @@
+package cmdln
+
+import (
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/cobra/doc"
+)
+
+func manCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "man DIR", Short: "Write manual pages into a folder", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			root := cmd.Root()
+			root.DisableAutoGenTag = true
+			return doc.GenManTree(root, &doc.GenManHeader{Title: "SASSAFRASRING", Section: "1", Source: "sassafrasring", Date: nil}, args[0])
+		},
+	}
+}
+
+func replayCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "replay FILE...", Short: "Replay recorded traces against their stated outcomes", Args: cobra.MinimumNArgs(1),
+		RunE: func(*cobra.Command, []string) error { return errors.New("no traces yet") },
+	}
+}
--- /dev/null
+++ b/internal/cmdln/root.go
@@ -0,0 +1,154 @@
+// Package cmdln is the command line: the daemon and the operators' client.
+package cmdln
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"sassafrasring.dev/sassafrasring/internal/node"
+	"sassafrasring.dev/sassafrasring/internal/setup"
+	"sassafrasring.dev/sassafrasring/pkg/client"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+	ExitRaced    = 4
+	ExitNotRun   = 5
+	ExitUnknown  = 6
+	ExitPartial  = 7
+)
+
+// exitError carries an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error gives the cause.
+func (e *exitError) Error() string { return e.err.Error() }
+
+func exit(code int, err error) error { return &exitError{code, err} }
+
+// options are the flags of every client command.
+type options struct {
+	entries string
+	name    string
+	secret  string
+	output  string
+	timeout time.Duration
+	out     io.Writer
+	errs    io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errs io.Writer) int {
+	o := &options{out: out, errs: errs}
+	cmd := Root(o)
+	cmd.SetArgs(args)
+	cmd.SetOut(out)
+	cmd.SetErr(errs)
+	err := cmd.Execute()
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = io.WriteString(errs, "error: "+err.Error()+"\n")
+	var e *exitError
+	var p setup.Problems
+	switch {
+	case errors.As(err, &e):
+		return e.code
+	case errors.As(err, &p):
+		return ExitSettings
+	case strings.HasPrefix(err.Error(), "unknown "), strings.Contains(err.Error(), "required flag"), strings.Contains(err.Error(), "arg(s)"):
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// Root returns the whole command tree.
+func Root(o *options) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "sassafrasring",
+		Short:         "A query tier over many shards",
+		Long:          "Sassafrasring answers queries spread over many shards, and runs writes at most once.\nThe same program is the daemon (serve) and the operators' client.",
+		Version:       node.Version,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	f := root.PersistentFlags()
+	f.StringVarP(&o.entries, "entries", "e", envOr("SASSAFRASRING_ENTRIES", "127.0.0.1:7001"), "addresses of entries, with commas between")
+	f.StringVarP(&o.name, "user", "u", os.Getenv("SASSAFRASRING_USER"), "account of the caller or operator")
+	f.StringVar(&o.secret, "secret", os.Getenv("SASSAFRASRING_SECRET"), "secret of the account; better in SASSAFRASRING_SECRET")
+	f.StringVarP(&o.output, "output", "o", "table", "form of the output: table or json")
+	f.DurationVar(&o.timeout, "timeout", 10*time.Second, "longest time for the whole command")
+	root.AddCommand(serveCommand(o), settingsCommand(o), hashCommand(o), certCommand(o), versionCommand(o))
+	root.AddCommand(statusCommand(o), configCommand(o), exceptionCommand(o), nodeCommand(o), serverCommand(o), controlCommand(o), suspectCommand(o))
+	root.AddCommand(queryCommand(o), writeCommand(o), replayCommand(o), manCommand(o))
+	return root
+}
+
+func envOr(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
+func (o *options) client() *client.Client {
+	return &client.Client{
+		Entries: strings.Split(o.entries, ","),
+		Name:    o.name,
+		Secret:  o.secret,
+		HTTP:    &http.Client{Timeout: o.timeout},
+	}
+}
+
+func (o *options) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), o.timeout)
+}
+
+func versionCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			_, err := io.WriteString(o.out, "sassafrasring "+node.Version+"\n")
+			return err
+		},
+	}
+}
+
+func hashCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "hash SECRET", Short: "Print the hash of a secret for the settings", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			_, err := io.WriteString(o.out, node.Hash(args[0])+"\n")
+			return err
+		},
+	}
+}
+
+// outcomeError maps an outcome to an exit code.
+func outcomeError(out tier.Outcome, why tier.Reason) error {
+	err := errors.Errorf("outcome %s: %s", out, why)
+	switch out {
+	case tier.Done:
+		return nil
+	case tier.Partial:
+		return exit(ExitPartial, err)
+	case tier.NotRun:
+		return exit(ExitNotRun, err)
+	}
+	return exit(ExitUnknown, err)
+}
--- /dev/null
+++ b/internal/cmdln/serve.go
@@ -0,0 +1,71 @@
+package cmdln
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"sassafrasring.dev/sassafrasring/internal/node"
+	"sassafrasring.dev/sassafrasring/internal/proc/stats"
+	"sassafrasring.dev/sassafrasring/internal/setup"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+func serveCommand(o *options) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use: "serve", Short: "Run a node", Args: cobra.NoArgs,
+		Long:    "Run a node until SIGTERM or SIGINT, which drains it: it goes on serving while callers\nmay hold its address, finishes what is in flight and exits with 0.",
+		Example: "  sassafrasring serve -c /etc/sassafrasring/node.jsonc",
+		RunE: func(*cobra.Command, []string) error {
+			s, err := setup.Load(path)
+			if err != nil {
+				return err
+			}
+			return serve(s, o)
+		},
+	}
+	cmd.Flags().StringVarP(&path, "config", "c", "", "settings file (JSON with comments)")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+func serve(s setup.Settings, o *options) error {
+	log, err := newLog(s.Log, o)
+	if err != nil {
+		return err
+	}
+	n := &node.Node{Settings: s, Log: log, Clock: tier.NewClock(), Stats: stats.NewRegistry()}
+	n.Build()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case sig := <-signals:
+			n.Drain(sig.String())
+		case <-ended:
+		}
+	}()
+	return n.Run(context.Background())
+}
+
+func newLog(l setup.Log, o *options) (*logrus.Logger, error) {
+	log := logrus.New()
+	log.SetOutput(o.errs)
+	level, err := logrus.ParseLevel(l.Level)
+	if err != nil {
+		return nil, err
+	}
+	log.SetLevel(level)
+	if l.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log, nil
+}
--- /dev/null
+++ b/internal/conn/certs.go
@@ -0,0 +1,123 @@
+// Package conn holds what lives for a connection: links between nodes over
+// QUIC, and the connections, slots and queues towards servers.
+package conn
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// recheckCerts is how often the certificate files are looked at again.
+const recheckCerts = 5 * time.Second
+
+// Certs reads a certificate, its key and a CA from files, and again when they change.
+type Certs struct {
+	// CA, Cert and Key are paths of PEM files. CA may be empty where no peer is verified.
+	CA, Cert, Key string
+
+	mu      sync.Mutex
+	checked time.Time
+	stamp   [3]time.Time
+	pair    *tls.Certificate
+	pool    *x509.CertPool
+}
+
+// Load reads the files and reports the first error.
+func (c *Certs) Load() error {
+	_, _, err := c.current()
+	return err
+}
+
+func (c *Certs) current() (*tls.Certificate, *x509.CertPool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pair != nil && time.Since(c.checked) < recheckCerts {
+		return c.pair, c.pool, nil
+	}
+	c.checked = time.Now()
+	stamp := c.stamps()
+	if c.pair != nil && stamp == c.stamp {
+		return c.pair, c.pool, nil
+	}
+	pair, pool, err := c.read()
+	if err != nil && c.pair != nil {
+		// A half-written renewal must not take a running node down.
+		return c.pair, c.pool, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	c.pair, c.pool, c.stamp = pair, pool, stamp
+	return pair, pool, nil
+}
+
+func (c *Certs) stamps() [3]time.Time {
+	var s [3]time.Time
+	for i, path := range []string{c.CA, c.Cert, c.Key} {
+		if info, err := os.Stat(path); err == nil {
+			s[i] = info.ModTime()
+		}
+	}
+	return s
+}
+
+func (c *Certs) read() (*tls.Certificate, *x509.CertPool, error) {
+	pair, err := tls.LoadX509KeyPair(c.Cert, c.Key)
+	if err != nil {
+		return nil, nil, tier.At("load certificate", c.Cert, err)
+	}
+	if c.CA == "" {
+		return &pair, nil, nil
+	}
+	pem, err := os.ReadFile(c.CA)
+	if err != nil {
+		return nil, nil, tier.At("load CA", c.CA, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, tier.At("load CA", c.CA, errors.New("no certificate in file"))
+	}
+	return &pair, pool, nil
+}
+
+// ServerConfig returns a configuration for listeners. With mutual it demands
+// a certificate of the CA from every peer.
+func (c *Certs) ServerConfig(protocols []string, mutual bool) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: protocols,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, pool, err := c.current()
+			if err != nil {
+				return nil, err
+			}
+			conf := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols, Certificates: []tls.Certificate{*pair}}
+			if mutual {
+				conf.ClientAuth, conf.ClientCAs = tls.RequireAndVerifyClientCert, pool
+			}
+			return conf, nil
+		},
+	}
+}
+
+// ClientConfig returns a configuration for dialling the peer with that name.
+func (c *Certs) ClientConfig(protocols []string, peer string) (*tls.Config, error) {
+	pair, pool, err := c.current()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   protocols,
+		ServerName:   peer,
+		RootCAs:      pool,
+		Certificates: []tls.Certificate{*pair},
+	}, nil
+}
--- /dev/null
+++ b/internal/conn/mesh.go
@@ -0,0 +1,392 @@
+package conn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"sassafrasring.dev/sassafrasring/internal/frame"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Wire constants of the links between nodes.
+const (
+	protocolName = "sassafrasring/1"
+	// KeepAlive is how often an idle link is probed.
+	KeepAlive = time.Second
+	// LinkSilence is how long a link may stay silent before it is closed.
+	LinkSilence = 3 * time.Second
+	// DialTimeout bounds the set-up of a link.
+	DialTimeout = 2 * time.Second
+	// maxStreams bounds the concurrent streams that one peer may open.
+	maxStreams = 16384
+)
+
+// Kind names what a stream between nodes is for.
+type Kind string
+
+// Head is the first frame on every stream.
+type Head struct {
+	Kind Kind        `cbor:"1,keyasint"`
+	From tier.NodeID `cbor:"2,keyasint"`
+}
+
+// Handler serves one stream; the stream is closed when it returns.
+type Handler func(ctx context.Context, s *Stream)
+
+// Peer is a node with its address for links.
+type Peer struct {
+	Node    tier.NodeID `json:"node" doc:"Name of the node." allow:"1 to 63 letters, digits and dashes"`
+	Address string      `json:"peer" doc:"Its address for nodes." allow:"ip:port"`
+}
+
+// Mesh is a node's QUIC endpoint: it listens, and dials peers on demand.
+// Lock order: mu, then a link's mu.
+type Mesh struct {
+	// Self is the node's id; its certificate must carry it as a DNS name.
+	Self tier.NodeID
+	// Listen is the UDP address.
+	Listen string
+	// Certs holds the node's certificate and the CA of its peers.
+	Certs *Certs
+	// Handlers serves streams by kind.
+	Handlers map[Kind]Handler
+	// Refused is told of peers that failed authentication; may be nil.
+	Refused func(err error)
+
+	mu        sync.Mutex
+	transport *quic.Transport
+	listener  *quic.Listener
+	links     map[tier.NodeID]*link
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		KeepAlivePeriod:       KeepAlive,
+		MaxIdleTimeout:        LinkSilence,
+		HandshakeIdleTimeout:  DialTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: maxStreams,
+	}
+}
+
+// Start opens the UDP socket and begins to listen.
+func (m *Mesh) Start(ctx context.Context) error {
+	addr, err := net.ResolveUDPAddr("udp", m.Listen)
+	if err != nil {
+		return tier.At("resolve peer address", m.Listen, err)
+	}
+	sock, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return tier.At("listen for peers", m.Listen, err)
+	}
+	m.transport = &quic.Transport{Conn: sock}
+	m.listener, err = m.transport.Listen(m.Certs.ServerConfig([]string{protocolName}, true), quicConfig())
+	if err != nil {
+		_ = sock.Close()
+		return tier.At("listen for peers", m.Listen, err)
+	}
+	m.links = map[tier.NodeID]*link{}
+	m.ctx, m.cancel = context.WithCancel(ctx)
+	m.wait.Add(1)
+	go m.accept()
+	return nil
+}
+
+// Close ends all links and waits for the handlers.
+func (m *Mesh) Close() error {
+	m.cancel()
+	m.mu.Lock()
+	for _, l := range m.links {
+		l.drop()
+	}
+	m.mu.Unlock()
+	err := m.listener.Close()
+	if e := m.transport.Close(); err == nil {
+		err = e
+	}
+	m.wait.Wait()
+	if e := m.transport.Conn.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+func (m *Mesh) accept() {
+	defer m.wait.Done()
+	for {
+		c, err := m.listener.Accept(m.ctx)
+		if err != nil {
+			if m.ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) {
+				return
+			}
+			continue
+		}
+		m.wait.Add(1)
+		go m.serve(c)
+	}
+}
+
+// serve accepts streams of one connection until it ends.
+func (m *Mesh) serve(c *quic.Conn) {
+	defer m.wait.Done()
+	from, err := peerName(c)
+	if err != nil {
+		if m.Refused != nil {
+			m.Refused(tier.At("authenticate peer", c.RemoteAddr().String(), err))
+		}
+		_ = c.CloseWithError(1, "no name in certificate")
+		return
+	}
+	defer func() { _ = c.CloseWithError(0, "") }()
+	for {
+		s, err := c.AcceptStream(m.ctx)
+		if err != nil {
+			return
+		}
+		m.wait.Add(1)
+		go m.handle(c.Context(), newStream(s, from))
+	}
+}
+
+func peerName(c *quic.Conn) (tier.NodeID, error) {
+	certs := c.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 || len(certs[0].DNSNames) == 0 {
+		return "", errors.New("certificate carries no node name")
+	}
+	return tier.NodeID(certs[0].DNSNames[0]), nil
+}
+
+func (m *Mesh) handle(ctx context.Context, s *Stream) {
+	defer m.wait.Done()
+	defer s.Close()
+	var h Head
+	if err := s.Recv(&h); err != nil {
+		return
+	}
+	f := m.Handlers[h.Kind]
+	if f == nil {
+		s.Cancel()
+		return
+	}
+	f(ctx, s)
+}
+
+// Open opens a stream of that kind to a peer, dialling if need be.
+func (m *Mesh) Open(ctx context.Context, p Peer, kind Kind) (*Stream, error) {
+	l := m.link(p)
+	c, err := l.get(ctx)
+	if err != nil {
+		return nil, tier.At("dial", string(p.Node), err)
+	}
+	qs, err := c.OpenStreamSync(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			l.retire(c)
+		}
+		return nil, tier.At("open stream", string(p.Node), err)
+	}
+	s := newStream(qs, p.Node)
+	if err := s.Send(Head{Kind: kind, From: m.Self}); err != nil {
+		return nil, tier.At("open stream", string(p.Node), err)
+	}
+	return s, nil
+}
+
+// Call sends one request and reads one answer. The stream is cancelled when ctx ends.
+func (m *Mesh) Call(ctx context.Context, p Peer, kind Kind, req, resp any) error {
+	s, err := m.Open(ctx, p, kind)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+	if err := s.Send(req); err != nil {
+		return tier.At("send "+string(kind), string(p.Node), err)
+	}
+	if err := s.Recv(resp); err != nil {
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return tier.At("await "+string(kind), string(p.Node), err)
+	}
+	return nil
+}
+
+// Links returns the number of peers with an open link.
+func (m *Mesh) Links() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, l := range m.links {
+		if l.alive() {
+			n++
+		}
+	}
+	return n
+}
+
+// Drop closes the link to a peer; the next use dials anew.
+func (m *Mesh) Drop(id tier.NodeID) {
+	m.mu.Lock()
+	l := m.links[id]
+	m.mu.Unlock()
+	if l != nil {
+		l.drop()
+	}
+}
+
+func (m *Mesh) link(p Peer) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.links[p.Node]
+	if l == nil || l.peer.Address != p.Address {
+		if l != nil {
+			l.drop()
+		}
+		l = &link{mesh: m, peer: p}
+		m.links[p.Node] = l
+	}
+	return l
+}
+
+// link is the outgoing connection to one peer.
+type link struct {
+	mesh *Mesh
+	peer Peer
+
+	mu   sync.Mutex
+	conn *quic.Conn
+	dial chan struct{}
+}
+
+func (l *link) alive() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && l.conn.Context().Err() == nil
+}
+
+// get returns the open connection; concurrent callers share one dial.
+func (l *link) get(ctx context.Context) (*quic.Conn, error) {
+	for {
+		l.mu.Lock()
+		if l.conn != nil && l.conn.Context().Err() == nil {
+			c := l.conn
+			l.mu.Unlock()
+			return c, nil
+		}
+		if l.dial == nil {
+			done := make(chan struct{})
+			l.dial = done
+			l.mu.Unlock()
+			return l.connect(ctx, done)
+		}
+		wait := l.dial
+		l.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (l *link) connect(ctx context.Context, done chan struct{}) (*quic.Conn, error) {
+	c, err := l.dialOnce(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dial = nil
+	close(done)
+	if err == nil {
+		l.conn = c
+	}
+	return c, err
+}
+
+func (l *link) dialOnce(ctx context.Context) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	addr, err := net.ResolveUDPAddr("udp", l.peer.Address)
+	if err != nil {
+		return nil, err
+	}
+	conf, err := l.mesh.Certs.ClientConfig([]string{protocolName}, string(l.peer.Node))
+	if err != nil {
+		return nil, err
+	}
+	return l.mesh.transport.Dial(ctx, addr, conf, quicConfig())
+}
+
+// retire closes c if it is still the link's connection.
+func (l *link) retire(c *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == c {
+		l.conn = nil
+	}
+	_ = c.CloseWithError(0, "retired")
+}
+
+func (l *link) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.CloseWithError(0, "")
+		l.conn = nil
+	}
+}
+
+// Stream carries frames between two nodes. Send and Recv may run at the same
+// time as each other, but neither at the same time as itself.
+type Stream struct {
+	// Peer is the node at the other end.
+	Peer tier.NodeID
+
+	qs  *quic.Stream
+	in  *countReader
+	buf []byte
+}
+
+func newStream(qs *quic.Stream, peer tier.NodeID) *Stream {
+	return &Stream{Peer: peer, qs: qs, in: &countReader{r: qs}}
+}
+
+// Send writes one frame.
+func (s *Stream) Send(v any) error {
+	b, err := frame.Append(s.buf[:0], v)
+	if err != nil {
+		return err
+	}
+	s.buf = b
+	_, err = s.qs.Write(b)
+	return err
+}
+
+// Recv reads one frame.
+func (s *Stream) Recv(v any) error { return frame.Read(s.in, v) }
+
+// CloseSend tells the peer that nothing more will be sent.
+func (s *Stream) CloseSend() { _ = s.qs.Close() }
+
+// Cancel ends the stream in both directions at once.
+func (s *Stream) Cancel() {
+	s.qs.CancelRead(0)
+	s.qs.CancelWrite(0)
+}
+
+// Close ends the stream; what was sent still arrives.
+func (s *Stream) Close() {
+	s.qs.CancelRead(0)
+	_ = s.qs.Close()
+}
+
+// Received returns the bytes read so far.
+func (s *Stream) Received() uint64 { return s.in.n }
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,103 @@
+// Package frame writes and reads length-prefixed, checksummed CBOR frames:
+// a 4-byte little-endian length, an 8-byte xxhash64 of the payload, and the
+// payload. It serves the links between nodes.
+package frame
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	headerBytes = 12
+	// MaxBytes is the largest payload of one frame.
+	MaxBytes = 64 << 20
+)
+
+// Errors of Read.
+var (
+	// ErrTooLarge says that a frame's length is over MaxBytes.
+	ErrTooLarge = errors.New("frame too large")
+	// ErrChecksum says that a frame's payload does not match its checksum.
+	ErrChecksum = errors.New("frame checksum mismatch")
+)
+
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Marshal encodes v as CBOR.
+func Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
+
+// Unmarshal decodes CBOR into v; unknown fields are ignored, so that a newer
+// node's messages are readable during a rolling upgrade.
+func Unmarshal(b []byte, v any) error { return decoder.Unmarshal(b, v) }
+
+// Append encodes v as a frame and appends it to buf.
+func Append(buf []byte, v any) ([]byte, error) {
+	p, err := Marshal(v)
+	if err != nil {
+		return buf, errors.Wrap(err, "encode frame")
+	}
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(p)))
+	buf = binary.LittleEndian.AppendUint64(buf, xxhash.Sum64(p))
+	return append(buf, p...), nil
+}
+
+// Write writes v as one frame with a single call of w.Write.
+func Write(w io.Writer, v any) error {
+	b, err := Append(nil, v)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+// Read reads one frame into v. It returns io.EOF only at a frame boundary.
+func Read(r io.Reader, v any) error {
+	var h [headerBytes]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return err
+	}
+	n := binary.LittleEndian.Uint32(h[:4])
+	if n > MaxBytes {
+		return ErrTooLarge
+	}
+	p, err := readN(r, int(n))
+	if err != nil {
+		return err
+	}
+	if xxhash.Sum64(p) != binary.LittleEndian.Uint64(h[4:]) {
+		return ErrChecksum
+	}
+	return errors.Wrap(Unmarshal(p, v), "decode frame")
+}
+
+// readN reads n bytes, growing the buffer as they arrive so that a false
+// length costs no more memory than the bytes sent.
+func readN(r io.Reader, n int) ([]byte, error) {
+	const chunk = 64 << 10
+	p := make([]byte, 0, min(n, chunk))
+	for len(p) < n {
+		at := len(p)
+		p = append(p, make([]byte, min(chunk, n-at))...)
+		if _, err := io.ReadFull(r, p[at:]); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+const (
+	// beatEvery is the interval between heartbeats to the leader.
+	beatEvery = time.Second
+	// kickGap is the least time between two messages to the leader.
+	kickGap = 50 * time.Millisecond
+	// beatSilence is how long the leader may leave heartbeats unanswered.
+	beatSilence = 2 * time.Second
+	// rejoinLeast and rejoinMost bound the jittered wait before the next subscription.
+	rejoinLeast = 50 * time.Millisecond
+	rejoinMost  = 2 * time.Second
+)
+
+// follow keeps a subscription to the control leader until ctx ends.
+func (n *Node) follow(ctx context.Context) error {
+	wait := rejoinLeast
+	for ctx.Err() == nil {
+		began := n.Clock.Now()
+		n.subscribe(ctx)
+		if n.Clock.Now()-began > rejoinMost {
+			wait = rejoinLeast
+		}
+		select {
+		case <-time.After(n.jitter(wait)):
+		case <-ctx.Done():
+		}
+		wait = min(2*wait, rejoinMost)
+	}
+	return ctx.Err()
+}
+
+// subscribe runs one subscription until it breaks.
+func (n *Node) subscribe(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := n.leader.target()
+	octx, stop := context.WithTimeout(ctx, conn.DialTimeout)
+	s, err := n.mesh.Open(octx, p, conn.KindWatch)
+	stop()
+	if err != nil {
+		n.leader.failed(p.Node)
+		return
+	}
+	defer s.Cancel()
+	downs := make(chan hub.Down)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		receiveDowns(ctx, s, downs)
+	}()
+	n.converse(ctx, p, s, downs)
+	s.Cancel()
+	cancel()
+	<-ended
+}
+
+func receiveDowns(ctx context.Context, s *conn.Stream, out chan<- hub.Down) {
+	defer close(out)
+	for {
+		var d hub.Down
+		if s.Recv(&d) != nil {
+			return
+		}
+		select {
+		case out <- d:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// converse sends heartbeats and news, and takes what comes.
+func (n *Node) converse(ctx context.Context, p conn.Peer, s *conn.Stream, downs <-chan hub.Down) {
+	if s.Send(n.firstUp()) != nil {
+		return
+	}
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	heard := n.Clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d, ok := <-downs:
+			if !ok || d.NotLeader {
+				n.notLeader(p, d)
+				return
+			}
+			heard = n.Clock.Now()
+			n.leader.learn(p.Node)
+			n.take(d)
+		case <-beat.C:
+			if n.Clock.Now()-heard > beatSilence {
+				n.leader.failed(p.Node)
+				n.mesh.Drop(p.Node)
+				return
+			}
+			if s.Send(n.up()) != nil {
+				return
+			}
+		case <-n.kick:
+			if s.Send(n.up()) != nil {
+				return
+			}
+			n.gap(ctx)
+		}
+	}
+}
+
+func (n *Node) notLeader(p conn.Peer, d hub.Down) {
+	if d.Leader != "" && d.Leader != p.Node {
+		n.leader.learn(d.Leader)
+		return
+	}
+	n.leader.failed(p.Node)
+}
+
+// gap spaces messages that are sent for news.
+func (n *Node) gap(ctx context.Context) {
+	select {
+	case <-time.After(kickGap):
+	case <-ctx.Done():
+	}
+}
+
+// poke has the leader told of news soon.
+func (n *Node) poke() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) record() hub.Node {
+	return hub.Node{
+		ID: n.Settings.Node, Instance: n.instance, Zone: n.Settings.Zone, Peer: n.Settings.Peers, Address: n.Settings.Advertise,
+		Control: n.replica != nil, Entry: n.entry(), Draining: n.draining.Load(),
+	}
+}
+
+// firstUp makes the message that begins a subscription.
+func (n *Node) firstUp() hub.Up {
+	n.mu.Lock()
+	n.gone = nil
+	n.news = nil
+	servers := n.leases.All()
+	n.mu.Unlock()
+	up := n.up()
+	rec := n.record()
+	up.Node = &rec
+	up.Digests = n.fleet.Table().Digests()
+	up.Servers = servers
+	return up
+}
+
+// up makes a heartbeat with the news since the last one.
+func (n *Node) up() hub.Up {
+	up := hub.Up{Have: n.have(), Config: n.fleet.Config().Version, Beat: n.fleet.NextBeat(), Leaving: n.leaving.Load()}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	up.Servers, n.news = n.news, nil
+	up.Gone, n.gone = n.gone, nil
+	if n.changed {
+		n.changed = false
+		rec := n.record()
+		up.Node = &rec
+	}
+	return up
+}
+
+// have returns the newest membership that the node has taken over in full:
+// nothing of its own runs any more on servers that it no longer owns.
+func (n *Node) have() hub.Stamp {
+	stamp := n.fleet.Table().Stamp
+	busy := n.owner.Leaving() > 0
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !busy {
+		n.acked = stamp
+	}
+	return n.acked
+}
+
+// take takes over a message of the leader.
+func (n *Node) take(d hub.Down) {
+	if d.Config != nil && n.fleet.SetConfig(d.Config) {
+		event.ConfigInForce.Log(n.Log, nil, logrus.Fields{"version": d.Config.Version})
+		n.applyDrain()
+		n.poke()
+	}
+	if d.Poison != nil {
+		n.engine.SetSuspects(d.Poison.Suspects)
+	}
+	if n.fleet.Take(d) {
+		n.tableChanged()
+		n.poke()
+	}
+	n.noteReady()
+}
+
+// tableChanged hands the new membership to those who go by it.
+func (n *Node) tableChanged() {
+	t := n.fleet.Table()
+	n.mu.Lock()
+	first := n.seen == nil
+	seen := n.seen
+	n.seen = make(map[tier.ServerID]tier.Instance, len(t.Servers))
+	for id, s := range t.Servers {
+		n.seen[id] = s.Instance
+	}
+	n.mu.Unlock()
+	cold := func(s tier.Announcement) bool { return !first && seen[s.Server] != s.Instance }
+	n.owner.Update(n.fleet.Owned(), cold)
+	n.engine.SetServers(t.Servers)
+}
+
+// serveWatch handles a node's subscription at a control host.
+func (n *Node) serveWatch(ctx context.Context, s *conn.Stream) {
+	var first hub.Up
+	if s.Recv(&first) != nil {
+		return
+	}
+	sub, ok := n.replica.Subscribe(s.Peer, first)
+	if !ok {
+		_ = s.Send(hub.Down{NotLeader: true, Leader: n.replica.Leader(ctx)})
+		return
+	}
+	defer n.replica.Unsubscribe(sub)
+	go func() {
+		for {
+			var up hub.Up
+			if s.Recv(&up) != nil {
+				n.replica.Unsubscribe(sub)
+				return
+			}
+			n.replica.Receive(sub, up)
+		}
+	}()
+	for d := range sub.Out {
+		if s.Send(d) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/admit"
+	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
+	"sassafrasring.dev/sassafrasring/internal/proc/disk"
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/proc/fleet"
+	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/lease"
+	"sassafrasring.dev/sassafrasring/internal/proc/score"
+	"sassafrasring.dev/sassafrasring/internal/proc/stats"
+	"sassafrasring.dev/sassafrasring/internal/proc/work"
+	"sassafrasring.dev/sassafrasring/internal/reqst"
+	"sassafrasring.dev/sassafrasring/internal/setup"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// leaseEvery is how often the leases of servers are looked at.
+const leaseEvery = 200 * time.Millisecond
+
+// Node is one process. Set the exported fields, then call Run.
+// Lock order: mu, then locks of the parts.
+type Node struct {
+	// Settings is checked settings.
+	Settings setup.Settings
+	// Log takes events.
+	Log *logrus.Logger
+	// Clock gives the time.
+	Clock tier.Clock
+	// Stats takes latencies and counts.
+	Stats *stats.Registry
+
+	instance tier.Instance
+	mesh     *conn.Mesh
+	leader   *leader
+	replica  *ctrl.Replica
+	fleet    *fleet.Fleet
+	owner    *conn.Owner
+	engine   *reqst.Engine
+	workers  *work.Pool
+	raft     *conn.Sender
+	greet    *conn.Sender
+	kick     chan struct{}
+	ready    chan struct{}
+	web      *web
+	draining atomic.Bool
+	leaving  atomic.Bool
+	drained  chan struct{}
+
+	mu      sync.Mutex
+	leases  lease.Table
+	news    []hub.Server
+	gone    []hub.Gone
+	changed bool
+	acked   hub.Stamp
+	seen    map[tier.ServerID]tier.Instance
+}
+
+// Build makes the parts; it must be called once before Run.
+func (n *Node) Build() {
+	n.instance = tier.Instance(rand.Uint64() | 1)
+	n.kick = make(chan struct{}, 1)
+	n.ready = make(chan struct{})
+	n.drained = make(chan struct{})
+	n.leases.Start()
+	n.workers = &work.Pool{}
+	n.fleet = &fleet.Fleet{Self: n.Settings.Node, Zone: n.Settings.Zone, Clock: n.Clock}
+	n.fleet.Start()
+	n.buildMesh()
+	n.buildControl()
+	n.buildEngine()
+	n.handlers()
+}
+
+func (n *Node) entry() bool { return n.Settings.HasRole(setup.RoleEntry) }
+
+func (n *Node) buildMesh() {
+	t := n.Settings.TLS
+	n.mesh = &conn.Mesh{
+		Self:    n.Settings.Node,
+		Listen:  n.Settings.Peers,
+		Certs:   &conn.Certs{CA: t.CA, Cert: t.Cert, Key: t.Key},
+		Refused: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
+	}
+	n.raft = &conn.Sender{Mesh: n.mesh, Kind: conn.KindRaft, Resolve: n.controlPeer}
+	n.greet = &conn.Sender{Mesh: n.mesh, Kind: conn.KindGreet, Resolve: n.controlPeer}
+}
+
+func (n *Node) controlPeer(id tier.NodeID) (conn.Peer, bool) {
+	for _, p := range n.Settings.Control {
+		if p.Node == id {
+			return p, true
+		}
+	}
+	return conn.Peer{}, false
+}
+
+func (n *Node) buildControl() {
+	if n.Settings.HasRole(setup.RoleControl) {
+		n.replica = &ctrl.Replica{
+			Node: n.Settings.Node, Folder: &disk.Folder{Path: n.Settings.Data, Node: n.Settings.Node}, Peers: n.Settings.Control,
+			Found: n.Settings.Found, Sender: n.raft, Greet: n.greet, Clock: n.Clock, Log: n.Log,
+		}
+		n.replica.Init()
+	}
+	n.leader = &leader{self: n.Settings.Node, mesh: n.mesh, peers: n.Settings.Control, replica: n.replica}
+}
+
+func (n *Node) buildEngine() {
+	n.owner = &conn.Owner{
+		Clock: n.Clock, MaySend: n.fleet.MaySend, Rules: n.rules,
+		Died: n.serverDied, Silent: n.serverSilent, Rejected: n.answerRejected,
+	}
+	n.engine = &reqst.Engine{
+		Self: n.Settings.Node, Instance: n.instance, Clock: n.Clock, Log: n.Log, Fleet: n.fleet, Owner: n.owner, Mesh: n.mesh,
+		Propose: n.leader, Workers: n.workers, Stats: n.Stats,
+		Board: &score.Board{Zone: n.Settings.Zone, Rand: rand.New(rand.NewPCG(uint64(n.instance), 1)), Choices: n.choices, Share: n.ejectShare},
+		Gate:  &admit.Gate{},
+	}
+	n.engine.Start()
+}
+
+func (n *Node) choices(s tier.Service) bool {
+	return n.fleet.Config().Get(vers.KeySelect, vers.Service(s)) == vers.SelectTwoChoices
+}
+
+func (n *Node) ejectShare(s tier.Service) int64 {
+	return n.fleet.Config().Get(vers.KeyEjectShare, vers.Service(s))
+}
+
+func (n *Node) rules(s tier.Service, id tier.ServerID) conn.Rules {
+	c := n.fleet.Config()
+	return conn.Rules{
+		MaxQueue:  int(c.Get(vers.KeyQueueLength, vers.Scope{Kind: vers.ScopeServer, Name: string(id)}, vers.Service(s))),
+		Silence:   c.Millis(vers.KeySilence, vers.Service(s)),
+		SlowStart: c.Millis(vers.KeySlowStart, vers.Service(s)),
+	}
+}
+
+func (n *Node) serverDied(d conn.Death) {
+	event.ServerDied.Log(n.Log, nil, logrus.Fields{"server": d.Server.Server, "instance": d.Server.Instance, "requests": len(d.Prints)})
+	n.Stats.Count("server_deaths", string(d.Server.Service))
+	n.workers.Go(func() { n.engine.Blame(d) })
+}
+
+func (n *Node) serverSilent(id tier.ServerID, r tier.RequestID) {
+	event.ServerSilent.Log(n.Log, nil, logrus.Fields{"server": id, "request": r})
+	n.Stats.Count("silent_connections", string(id))
+}
+
+func (n *Node) answerRejected(id tier.ServerID, r tier.RequestID, why tier.Reason) {
+	event.AnswerRejected.Log(n.Log, nil, logrus.Fields{"server": id, "request": r, "reason": why})
+	n.Stats.Count("answers_rejected", string(why))
+}
+
+func (n *Node) handlers() {
+	n.mesh.Handlers = map[conn.Kind]conn.Handler{
+		conn.KindQuery: n.engine.ServeQuery,
+		conn.KindWrite: n.engine.ServeWrite,
+		conn.KindPeer:  n.servePeer,
+	}
+	if n.replica == nil {
+		return
+	}
+	n.mesh.Handlers[conn.KindRaft] = conn.Receive(func(_ tier.NodeID, b []byte) { n.replica.Deliver(b) })
+	n.mesh.Handlers[conn.KindGreet] = conn.Receive(n.replica.Greeted)
+	n.mesh.Handlers[conn.KindPropose] = n.leader.servePropose
+	n.mesh.Handlers[conn.KindAdmin] = n.leader.serveAdmin
+	n.mesh.Handlers[conn.KindWatch] = n.serveWatch
+}
+
+// Run serves until ctx ends, which is a stop without drain, or until a drain
+// that was asked for has ended.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.mesh.Certs.Load(); err != nil {
+		return err
+	}
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.workers.Start(base)
+	if err := n.mesh.Start(base); err != nil {
+		return err
+	}
+	if err := n.listen(); err != nil {
+		_ = n.mesh.Close()
+		return err
+	}
+	s := &n.Settings
+	event.NodeStarted.Log(n.Log, nil, logrus.Fields{"node": s.Node, "zone": s.Zone, "callers": s.Callers, "peers": s.Peers, "version": Version})
+	var g run.Group
+	n.actor(&g, ctx, n.untilDrained)
+	n.actor(&g, base, n.raft.Run)
+	n.actor(&g, base, n.greet.Run)
+	n.actor(&g, base, n.follow)
+	n.actor(&g, base, n.watchPeers)
+	n.actor(&g, base, n.watchLeases)
+	n.actor(&g, base, n.runReplica)
+	g.Add(n.web.serve, func(error) { n.web.close() })
+	err := g.Run()
+	cancel()
+	_ = n.mesh.Close()
+	n.workers.Wait()
+	event.NodeStopped.Log(n.Log, err, nil)
+	return err
+}
+
+// actor adds a function that runs until its context ends.
+func (n *Node) actor(g *run.Group, ctx context.Context, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// runReplica runs the control role. A failed disk ends the role and leaves the rest of the node going.
+func (n *Node) runReplica(ctx context.Context) error {
+	if n.replica != nil {
+		_ = n.replica.Run(ctx)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+// noteReady marks the node ready once it can serve.
+func (n *Node) noteReady() {
+	if !n.fleet.Ready() {
+		return
+	}
+	select {
+	case <-n.ready:
+	default:
+		close(n.ready)
+		event.NodeReady.Log(n.Log, nil, nil)
+	}
+}
+
+// Ready is closed once the node serves callers.
+func (n *Node) Ready() <-chan struct{} { return n.ready }
--- /dev/null
+++ b/internal/node/web.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/setup"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// idleCaller is how long an unused connection of a caller is kept.
+const idleCaller = 60 * time.Second
+
+// web is the HTTP side of a node.
+type web struct {
+	server   *http.Server
+	listener net.Listener
+	tls      bool
+}
+
+// listen opens the address for callers, servers and operators.
+func (n *Node) listen() error {
+	s := &n.Settings
+	l, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return tier.At("listen for callers", s.Callers, err)
+	}
+	srv := &http.Server{
+		Handler:           n.routes(),
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		ReadHeaderTimeout: s.Limits.ReadMs.Duration(),
+		ReadTimeout:       s.Limits.ReadMs.Duration(),
+		IdleTimeout:       idleCaller,
+	}
+	n.web = &web{server: srv, listener: netutil.LimitListener(l, s.Limits.Connections)}
+	return n.callerTLS()
+}
+
+func (n *Node) callerTLS() error {
+	t := n.Settings.CallerTLS
+	if t == (setup.TLS{}) {
+		return nil
+	}
+	certs := &conn.Certs{CA: t.CA, Cert: t.Cert, Key: t.Key}
+	if err := certs.Load(); err != nil {
+		return err
+	}
+	n.web.server.TLSConfig = certs.ServerConfig([]string{"http/1.1"}, t.CA != "")
+	n.web.tls = true
+	return nil
+}
+
+func (w *web) serve() error {
+	var err error
+	if w.tls {
+		err = w.server.ServeTLS(w.listener, "", "")
+	} else {
+		err = w.server.Serve(w.listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// shutdown stops accepting and waits for the requests under way.
+func (w *web) shutdown(ctx context.Context) { _ = w.server.Shutdown(ctx) }
+
+func (w *web) close() { _ = w.server.Close() }
+
+func (n *Node) routes() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = n.httpError
+	e.Use(middleware.Recover(), n.limitBody, n.turnAway)
+
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", n.getReady)
+	e.GET("/metrics", n.getMetrics)
+
+	e.GET("/v1/entries", n.getEntries, n.callerOnly)
+	e.POST("/v1/query", n.postQuery, n.callerOnly)
+	e.POST("/v1/write", n.postWrite, n.callerOnly)
+	e.POST("/v1/announce", n.postAnnounce, n.serverOnly)
+
+	o := e.Group("/v1/ops", n.operatorOnly)
+	o.GET("/status", n.getStatus)
+	o.GET("/config", n.getConfig)
+	o.POST("/config", n.postChange)
+	o.GET("/config/history", n.getHistory)
+	o.GET("/config/lagging", n.getLagging)
+	o.GET("/nodes", n.getNodes)
+	o.GET("/servers", n.getServers)
+	o.GET("/suspects", n.getSuspects)
+	o.DELETE("/suspects/:print", n.deleteSuspect)
+	o.GET("/control", n.getControl)
+	o.POST("/control/:order", n.postControl)
+	o.GET("/backup", n.getBackup)
+	return e
+}
+
+// limitBody bounds the size of request bodies.
+func (n *Node) limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		if r.ContentLength > n.Settings.Limits.BodyBytes {
+			return echo.NewHTTPError(http.StatusRequestEntityTooLarge, "body is too large")
+		}
+		r.Body = http.MaxBytesReader(c.Response(), r.Body, n.Settings.Limits.BodyBytes)
+		return next(c)
+	}
+}
+
+// turnAway has callers of a draining node open their next connection elsewhere.
+func (n *Node) turnAway(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if n.draining.Load() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
+// Failure is the body of every answer that is an error.
+type Failure struct {
+	Error string `json:"error"`
+	Step  string `json:"step,omitempty"`
+	Peer  string `json:"peer,omitempty"`
+	Hint  string `json:"hint,omitempty"`
+}
+
+func (n *Node) httpError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, f := describe(err)
+	_ = c.JSON(status, f)
+}
+
+// describe turns an error into a status and a body.
+func describe(err error) (int, Failure) {
+	var he *echo.HTTPError
+	var tooLarge *http.MaxBytesError
+	var ne net.Error
+	var se *tier.StepError
+	switch {
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, Failure{Error: "body is too large"}
+	case errors.As(err, &ne) && ne.Timeout():
+		return http.StatusRequestTimeout, Failure{Error: "request did not arrive in time"}
+	case errors.As(err, &he):
+		msg, _ := he.Message.(string)
+		if msg == "" {
+			msg = http.StatusText(he.Code)
+		}
+		return he.Code, Failure{Error: msg}
+	case errors.As(err, &se):
+		f := Failure{Error: se.Err.Error(), Step: se.Step, Peer: se.Peer}
+		if errors.Is(err, tier.ErrNoControl) {
+			f.Hint = "most control hosts must be up and reached from this node; try another entry"
+		}
+		return http.StatusServiceUnavailable, f
+	}
+	return http.StatusInternalServerError, Failure{Error: err.Error()}
+}
--- /dev/null
+++ b/internal/node/wire.go
@@ -0,0 +1,60 @@
+// Package node wires a sassafrasring process together: settings, links,
+// control replica, the following of control, request engine and HTTP.
+package node
+
+import (
+	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
+	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/store"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// proposeReply answers a proposal of another node.
+type proposeReply struct {
+	Result store.Result `cbor:"1,keyasint"`
+	Error  string       `cbor:"2,keyasint,omitempty"`
+	Leader tier.NodeID  `cbor:"3,keyasint,omitempty"`
+}
+
+// adminKind names a question or order to the control leader.
+type adminKind string
+
+const (
+	adminConfig  adminKind = "config"
+	adminHistory adminKind = "history"
+	adminLagging adminKind = "lagging"
+	adminStatus  adminKind = "status"
+	adminAdd     adminKind = "add"
+	adminRemove  adminKind = "remove"
+	adminHand    adminKind = "hand"
+	adminBackup  adminKind = "backup"
+)
+
+type adminRequest struct {
+	Kind    adminKind          `cbor:"1,keyasint"`
+	Node    tier.NodeID        `cbor:"2,keyasint,omitempty"`
+	Version tier.ConfigVersion `cbor:"3,keyasint,omitempty"`
+}
+
+type adminReply struct {
+	Error   string        `cbor:"1,keyasint,omitempty"`
+	Leader  tier.NodeID   `cbor:"2,keyasint,omitempty"`
+	Config  *vers.Config  `cbor:"3,keyasint,omitempty"`
+	History []store.Past  `cbor:"4,keyasint,omitempty"`
+	Lagging []tier.NodeID `cbor:"5,keyasint,omitempty"`
+	Status  *ctrl.Status  `cbor:"6,keyasint,omitempty"`
+	Backup  []byte        `cbor:"7,keyasint,omitempty"`
+}
+
+// peerRequest asks another node what it knows; the answer has the
+// configuration if it is newer than Config.
+type peerRequest struct {
+	Config tier.ConfigVersion `cbor:"1,keyasint"`
+}
+
+type peerReply struct {
+	Stamp  hub.Stamp    `cbor:"1,keyasint"`
+	Leased bool         `cbor:"2,keyasint"`
+	Config *vers.Config `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/proc/ctrl/found.go
@@ -0,0 +1,183 @@
+package ctrl
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"sassafrasring.dev/sassafrasring/internal/frame"
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Greeting tells the other control hosts which incarnation runs on a node,
+// and whether it holds any state of a cluster.
+type Greeting struct {
+	Replica tier.ReplicaID `cbor:"1,keyasint"`
+	Formed  bool           `cbor:"2,keyasint"`
+}
+
+// foundTerm is the term of the entry that founds a cluster.
+const foundTerm tier.Term = 1
+
+func (r *Replica) formed() bool { return r.core.Term() > 0 || r.core.LastIndex() > 0 }
+
+func (r *Replica) greet() {
+	b, err := frame.Marshal(Greeting{Replica: r.core.ID, Formed: r.formed()})
+	if err != nil {
+		return
+	}
+	for _, p := range r.Peers {
+		if p.Node != r.Node {
+			r.Greet.Send(p.Node, b)
+		}
+	}
+	r.tryFound()
+	r.tryRepair()
+}
+
+// Greeted takes a greeting of another control host.
+func (r *Replica) Greeted(from tier.NodeID, b []byte) {
+	var g Greeting
+	if frame.Unmarshal(b, &g) != nil || g.Replica.Node() != from {
+		return
+	}
+	select {
+	case r.calls <- func() { r.greetings[from] = g }:
+	case <-r.stopped:
+	}
+}
+
+// tryFound founds a cluster when every control host of the settings has been
+// heard from and none holds state. A host that lost its disk thus never
+// founds a second cluster beside its old one.
+func (r *Replica) tryFound() {
+	if !r.Found || r.formed() {
+		return
+	}
+	m := quorum.Members{}
+	for _, p := range r.Peers {
+		id := r.core.ID
+		if p.Node != r.Node {
+			g, ok := r.greetings[p.Node]
+			if !ok || g.Formed {
+				return
+			}
+			id = g.Replica
+		}
+		m.Voters = append(m.Voters, id)
+	}
+	hard := quorum.HardState{Term: foundTerm}
+	es := []quorum.Entry{{Index: 1, Term: foundTerm, Kind: quorum.EntryMembers, Members: &m}}
+	if err := r.Folder.Save(&hard, es); err != nil {
+		event.DiskFailed.Log(r.Log, err, nil)
+		return
+	}
+	r.hard = hard
+	r.core.Start(r.Clock.Now(), hard, quorum.Snap{}, es)
+	event.ClusterFounded.Log(r.Log, nil, logrus.Fields{"voters": m.Voters})
+}
+
+// tryRepair replaces a voter whose node greets with a new incarnation: the
+// old one lost its disk. One step at a time: remove the old voter, add the
+// new incarnation as a learner, promote it when it has caught up.
+func (r *Replica) tryRepair() {
+	if !r.core.Serving() {
+		return
+	}
+	m := r.core.Membership()
+	for _, p := range r.Peers {
+		g, ok := r.greetings[p.Node]
+		if !ok || p.Node == r.Node {
+			continue
+		}
+		if next, step := repairStep(m, g.Replica); step != "" {
+			r.change(next, step, g.Replica)
+			return
+		}
+	}
+}
+
+// repairStep returns the next membership on the way to id as a voter in the
+// place of another incarnation of its node; step is "" where nothing is due.
+func repairStep(m quorum.Members, id tier.ReplicaID) (next quorum.Members, step string) {
+	if m.IsVoter(id) {
+		return m, ""
+	}
+	if m.IsLearner(id) {
+		next.Learners = without(m.Learners, id)
+		next.Voters = append(append([]tier.ReplicaID(nil), m.Voters...), id)
+		return next, "promote"
+	}
+	for _, old := range m.All() {
+		if old.Node() == id.Node() {
+			next.Voters, next.Learners = without(m.Voters, old), append(without(m.Learners, old), id)
+			return next, "replace"
+		}
+	}
+	return m, ""
+}
+
+func without(list []tier.ReplicaID, id tier.ReplicaID) []tier.ReplicaID {
+	var out []tier.ReplicaID
+	for _, r := range list {
+		if r != id {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (r *Replica) change(next quorum.Members, step string, id tier.ReplicaID) {
+	_, err := r.core.ChangeMembers(r.Clock.Now(), next)
+	if err != nil {
+		return
+	}
+	event.MembersChanged.Log(r.Log, nil, logrus.Fields{"step": step, "replica": id})
+}
+
+// AddMember makes the control host that greets under that node a learner; it
+// is promoted once it has caught up.
+func (r *Replica) AddMember(ctx context.Context, node tier.NodeID) error {
+	var err error
+	e := r.call(ctx, func() {
+		g, ok := r.greetings[node]
+		m := r.core.Membership()
+		switch {
+		case !ok:
+			err = errors.Errorf("control host %q has not been heard from", node)
+		case m.IsVoter(g.Replica) || m.IsLearner(g.Replica):
+			err = errors.Errorf("control host %q is a member already", node)
+		default:
+			m.Learners = append(append([]tier.ReplicaID(nil), m.Learners...), g.Replica)
+			_, err = r.core.ChangeMembers(r.Clock.Now(), m)
+		}
+	})
+	if e != nil {
+		return e
+	}
+	return err
+}
+
+// RemoveMember removes the control host of that node.
+func (r *Replica) RemoveMember(ctx context.Context, node tier.NodeID) error {
+	var err error
+	e := r.call(ctx, func() {
+		m := r.core.Membership()
+		for _, id := range m.All() {
+			if id.Node() == node {
+				next := quorum.Members{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
+				_, err = r.core.ChangeMembers(r.Clock.Now(), next)
+				delete(r.greetings, node)
+				return
+			}
+		}
+		err = errors.Errorf("no control host %q among the members", node)
+	})
+	if e != nil {
+		return e
+	}
+	return err
+}
--- /dev/null
+++ b/internal/proc/disk/record.go
@@ -0,0 +1,88 @@
+// Package disk keeps a control replica's durable state under one folder: an
+// identity, a checksummed log of hard states and entries, and snapshots.
+// Nothing counts as kept before it is synced; the first failed sync or write
+// ends the use of the folder.
+package disk
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/pkg/errors"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+const (
+	recordHeader = 12
+	maxRecord    = 256 << 20
+	sectorBytes  = 512
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendRecord appends a record: 4-byte length, 4-byte CRC of the length,
+// 4-byte CRC of the payload, payload. All little-endian, CRC-32C.
+func appendRecord(buf, payload []byte) []byte {
+	var h [recordHeader]byte
+	binary.LittleEndian.PutUint32(h[0:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(h[4:], crc32.Checksum(h[:4], castagnoli))
+	binary.LittleEndian.PutUint32(h[8:], crc32.Checksum(payload, castagnoli))
+	buf = append(buf, h[:]...)
+	return append(buf, payload...)
+}
+
+// scanRecords calls f with each whole record of b and returns the length of
+// the valid prefix. A torn last record (cut short, or ending in an unwritten
+// sector of zeros) ends the scan without an error; any other damage is
+// ErrCorrupt, so that the log is never silently shortened.
+func scanRecords(b []byte, f func(payload []byte) error) (int, error) {
+	at := 0
+	for at < len(b) {
+		p, torn, err := nextRecord(b[at:])
+		if err != nil {
+			return at, errors.Wrapf(err, "record at byte %d", at)
+		}
+		if torn {
+			return at, nil
+		}
+		if err := f(p); err != nil {
+			return at, errors.Wrapf(err, "record at byte %d", at)
+		}
+		at += recordHeader + len(p)
+	}
+	return at, nil
+}
+
+func nextRecord(b []byte) (payload []byte, torn bool, err error) {
+	if len(b) < recordHeader {
+		return nil, true, nil
+	}
+	n := binary.LittleEndian.Uint32(b[0:])
+	if crc32.Checksum(b[:4], castagnoli) != binary.LittleEndian.Uint32(b[4:]) || n > maxRecord {
+		return nil, allZero(b), errUnlessZero(b, "header checksum")
+	}
+	if len(b) < recordHeader+int(n) {
+		return nil, true, nil
+	}
+	payload = b[recordHeader : recordHeader+int(n)]
+	if crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(b[8:]) {
+		return payload, false, nil
+	}
+	last := len(b) == recordHeader+int(n)
+	tail := payload[max(0, len(payload)-sectorBytes):]
+	if last && allZero(tail) {
+		return nil, true, nil
+	}
+	return nil, false, errors.Wrap(tier.ErrCorrupt, "payload checksum")
+}
+
+func allZero(b []byte) bool { return len(bytes.Trim(b, "\x00")) == 0 }
+
+func errUnlessZero(b []byte, what string) error {
+	if allZero(b) {
+		return nil
+	}
+	return errors.Wrap(tier.ErrCorrupt, what)
+}
--- /dev/null
+++ b/internal/proc/fleet/fleet.go
@@ -0,0 +1,211 @@
+// Package fleet holds what a node knows of the fleet: membership, owners,
+// catalog and the configuration in force, and whether it may act on them.
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Fleet is safe for concurrent use. Lock order: mu is held for no call out.
+type Fleet struct {
+	// Self is the node.
+	Self tier.NodeID
+	// Zone is the node's zone.
+	Zone tier.Zone
+	// Clock gives the time.
+	Clock tier.Clock
+
+	mu      sync.RWMutex
+	view    hub.View
+	entries int
+	config  atomic.Pointer[vers.Config]
+	catalog atomic.Pointer[vers.Catalog]
+	quorate atomic.Bool
+}
+
+// Start empties the fleet.
+func (f *Fleet) Start() {
+	f.view.Self = f.Self
+	f.view.Start()
+	f.catalog.Store(vers.NewCatalog(nil, nil))
+}
+
+// Take takes over a message of the hub; changed is true when the membership differs.
+func (f *Fleet) Take(d hub.Down) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.view.Receive(d) {
+		return false
+	}
+	f.entries = 0
+	for _, n := range f.view.Table().Nodes {
+		if n.Entry && !n.Draining {
+			f.entries++
+		}
+	}
+	f.recatalog()
+	return true
+}
+
+func (f *Fleet) recatalog() {
+	c := f.config.Load()
+	drained := func(id tier.ServerID) bool {
+		return c != nil && c.Get(vers.KeyDrain, vers.Scope{Kind: vers.ScopeServer, Name: string(id)}) == 1
+	}
+	f.catalog.Store(vers.NewCatalog(f.view.Table().Servers, drained))
+}
+
+// SetConfig puts a configuration in force unless one as new is; it reports
+// whether it did. Versions only go forward.
+func (f *Fleet) SetConfig(c *vers.Config) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old := f.config.Load(); c == nil || (old != nil && c.Version <= old.Version) {
+		return false
+	}
+	f.config.Store(c)
+	f.recatalog()
+	return true
+}
+
+// Config returns the configuration in force; before there is one, the built-in defaults.
+func (f *Fleet) Config() *vers.Config {
+	if c := f.config.Load(); c != nil {
+		return c
+	}
+	return &vers.Config{}
+}
+
+// Ready reports whether the node has a confirmed configuration and membership.
+func (f *Fleet) Ready() bool {
+	if f.config.Load() == nil {
+		return false
+	}
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.view.Known()
+}
+
+// Catalog returns the services and snapshots of the present membership.
+func (f *Fleet) Catalog() *vers.Catalog { return f.catalog.Load() }
+
+// Table returns the present membership; the caller must not change it.
+func (f *Fleet) Table() *hub.Table {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.view.Table()
+}
+
+// Owned returns the servers that this node owns.
+func (f *Fleet) Owned() map[tier.ServerID]tier.Announcement {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	owned := map[tier.ServerID]tier.Announcement{}
+	for id, s := range f.view.Table().Servers {
+		if f.view.Owner(id) == f.Self {
+			owned[id] = s
+		}
+	}
+	return owned
+}
+
+// OwnerOf returns the owner of a server; ok is false where there is none.
+func (f *Fleet) OwnerOf(id tier.ServerID) (p conn.Peer, ok bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	n, ok := f.view.Table().Nodes[f.view.Owner(id)]
+	return conn.Peer{Node: n.ID, Address: n.Peer}, ok
+}
+
+// Alive reports whether that start of a node is a live member.
+func (f *Fleet) Alive(id tier.NodeID, i tier.Instance) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	n, ok := f.view.Table().Nodes[id]
+	return ok && n.Instance == i
+}
+
+// Entries returns the number of live entries that are not draining.
+func (f *Fleet) Entries() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.entries
+}
+
+// NextBeat numbers a heartbeat that is about to be sent.
+func (f *Fleet) NextBeat() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.NextBeat(f.Clock.Now())
+}
+
+// Leased reports whether the node's own lease is in force.
+func (f *Fleet) Leased() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.view.Leased(f.Clock.Now())
+}
+
+// SetQuorate notes whether most entries are reached and none knows of a newer membership.
+func (f *Fleet) SetQuorate(ok bool) { f.quorate.Store(ok) }
+
+// MaySend reports whether this node may send to a server now.
+func (f *Fleet) MaySend(id tier.ServerID) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.view.MaySend(id) && (f.view.Leased(f.Clock.Now()) || f.quorate.Load())
+}
+
+// Refusing returns why this node must take on nothing now, or ReasonNone.
+func (f *Fleet) Refusing() tier.Reason {
+	switch {
+	case !f.Ready():
+		return tier.ReasonNoControl
+	case !f.Leased() && !f.quorate.Load():
+		return tier.ReasonIsolated
+	}
+	return tier.ReasonNone
+}
+
+// Sample returns at most n other entries, chosen at random.
+func (f *Fleet) Sample(n int) []conn.Peer {
+	var all []conn.Peer
+	for id, m := range f.Table().Nodes {
+		if id != f.Self && m.Entry {
+			all = append(all, conn.Peer{Node: id, Address: m.Peer})
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
+// Addresses returns entry addresses for callers: this node's zone first,
+// spread at random, no draining node.
+func (f *Fleet) Addresses(n int) []string {
+	var near, far []string
+	for _, m := range f.Table().Nodes {
+		switch {
+		case !m.Entry || m.Draining:
+		case m.Zone == f.Zone:
+			near = append(near, m.Address)
+		default:
+			far = append(far, m.Address)
+		}
+	}
+	mix := func(l []string) { rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] }) }
+	mix(near)
+	mix(far)
+	// One address of another zone is kept in the list against the loss of this one.
+	if len(near) >= n && len(far) > 0 && n > 1 {
+		near = near[:n-1]
+	}
+	all := append(near, far...)
+	return all[:min(n, len(all))]
+}
--- /dev/null
+++ b/internal/proc/hub/view.go
@@ -0,0 +1,152 @@
+package hub
+
+import (
+	"time"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// View is a node's copy of the membership. It decides which servers the node
+// may send to. The caller guards it by a lock.
+type View struct {
+	// Self is the node.
+	Self tier.NodeID
+
+	table   *Table
+	owners  map[tier.ServerID]tier.NodeID
+	since   map[tier.ServerID]Stamp
+	settled Stamp
+	known   bool
+
+	beats   map[uint64]time.Duration
+	beat    uint64
+	renewed time.Duration
+	leased  bool
+}
+
+// Start empties the view.
+func (v *View) Start() {
+	v.table = NewTable()
+	v.owners = map[tier.ServerID]tier.NodeID{}
+	v.since = map[tier.ServerID]Stamp{}
+	v.beats = map[uint64]time.Duration{}
+}
+
+// Table returns the current table, which is never changed after it was returned.
+func (v *View) Table() *Table { return v.table }
+
+// Known reports whether the view has ever held a published table.
+func (v *View) Known() bool { return v.known }
+
+// Owner returns the node that owns a server, or "".
+func (v *View) Owner(s tier.ServerID) tier.NodeID { return v.owners[s] }
+
+// NextBeat numbers a heartbeat that is about to be sent.
+func (v *View) NextBeat(now time.Duration) uint64 {
+	v.beat++
+	v.beats[v.beat] = now
+	return v.beat
+}
+
+// Leased reports whether the node's own lease, counted from when the last
+// answered heartbeat was sent, is in force.
+func (v *View) Leased(now time.Duration) bool { return v.leased && now-v.renewed < NodeLease }
+
+// Renewed returns the time at which the last answered heartbeat was sent.
+func (v *View) Renewed() time.Duration { return v.renewed }
+
+// Receive takes over a message of the hub; changed is true when the table differs.
+func (v *View) Receive(d Down) (changed bool) {
+	if d.Stamp.Less(v.table.Stamp) {
+		return false
+	}
+	v.acknowledge(d.Beat)
+	changed = d.Stamp != v.table.Stamp || len(d.Whole) > 0
+	if changed {
+		v.take(d)
+	}
+	if v.settled.Less(d.Settled) {
+		v.settled = d.Settled
+	}
+	return changed
+}
+
+func (v *View) acknowledge(beat uint64) {
+	at, ok := v.beats[beat]
+	if !ok {
+		return
+	}
+	if !v.leased || at > v.renewed {
+		v.renewed, v.leased = at, true
+	}
+	for b := range v.beats {
+		if b <= beat {
+			delete(v.beats, b)
+		}
+	}
+}
+
+func (v *View) take(d Down) {
+	t := v.table.clone()
+	t.Stamp = d.Stamp
+	dropBuckets(t, d.Whole)
+	for _, n := range d.Nodes {
+		t.Nodes[n.ID] = n
+	}
+	for _, s := range d.Servers {
+		t.Servers[s.Server] = s
+	}
+	for _, id := range d.GoneNodes {
+		delete(t.Nodes, id)
+	}
+	for _, id := range d.GoneServers {
+		delete(t.Servers, id)
+	}
+	v.table = t
+	v.known = true
+	v.reown()
+}
+
+func dropBuckets(t *Table, whole []int) {
+	if len(whole) == 0 {
+		return
+	}
+	var drop [Buckets]bool
+	for _, b := range whole {
+		if b >= 0 && b < Buckets {
+			drop[b] = true
+		}
+	}
+	for id := range t.Nodes {
+		if drop[bucketOf(string(id))] {
+			delete(t.Nodes, id)
+		}
+	}
+	for id := range t.Servers {
+		if drop[bucketOf(string(id))] {
+			delete(t.Servers, id)
+		}
+	}
+}
+
+// reown computes the owners anew and notes since when this node owns what it owns.
+func (v *View) reown() {
+	owners := v.table.Owners()
+	for id, n := range owners {
+		if n == v.Self && v.owners[id] != v.Self {
+			v.since[id] = v.table.Stamp
+		}
+	}
+	for id := range v.since {
+		if owners[id] != v.Self {
+			delete(v.since, id)
+		}
+	}
+	v.owners = owners
+}
+
+// MaySend reports whether this node owns s and every live node knows that it does.
+func (v *View) MaySend(s tier.ServerID) bool {
+	since, ok := v.since[s]
+	return ok && !v.settled.Less(since)
+}
--- /dev/null
+++ b/internal/proc/stats/registry.go
@@ -0,0 +1,141 @@
+package stats
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// MaxSeries bounds the histograms; what comes beyond is counted as "other".
+const MaxSeries = 1000
+
+const otherName = "other"
+
+// Registry holds counters and histograms by name and label.
+type Registry struct {
+	mu       sync.Mutex
+	counters metrics.Registry
+	series   map[string]*Histogram
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{counters: metrics.NewRegistry(), series: map[string]*Histogram{}}
+}
+
+// Count adds one to the counter name{label}.
+func (r *Registry) Count(name, label string) {
+	metrics.GetOrRegisterCounter(name+"\x00"+label, r.counters).Inc(1)
+}
+
+// Counter returns the value of the counter name{label}.
+func (r *Registry) Counter(name, label string) int64 {
+	return metrics.GetOrRegisterCounter(name+"\x00"+label, r.counters).Count()
+}
+
+// Request records one request by account, service and class, and its outcome.
+func (r *Registry) Request(a tier.Account, s tier.Service, c tier.Class, o tier.Outcome, why tier.Reason, took time.Duration) {
+	if c == "" {
+		c = tier.ClassNormal
+	}
+	r.histogram("caller\x00" + string(a)).Record(took)
+	r.histogram("service\x00" + string(s)).Record(took)
+	r.histogram("class\x00" + string(c)).Record(took)
+	r.Count("outcome", string(s)+"/"+string(o))
+	if why != tier.ReasonNone {
+		r.Count("reason", string(s)+"/"+string(why))
+	}
+}
+
+func (r *Registry) histogram(key string) *Histogram {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.series[key]
+	if h != nil {
+		return h
+	}
+	if len(r.series) >= MaxSeries {
+		key = "caller\x00" + otherName
+		if h = r.series[key]; h != nil {
+			return h
+		}
+	}
+	h = NewHistogram()
+	r.series[key] = h
+	return h
+}
+
+// Series is one histogram with its labels.
+type Series struct {
+	Kind    string  `json:"kind"`
+	Label   string  `json:"label"`
+	Summary Summary `json:"summary"`
+}
+
+// Series returns all histograms, sorted.
+func (r *Registry) Series() []Series {
+	r.mu.Lock()
+	keys := make([]string, 0, len(r.series))
+	for k := range r.series {
+		keys = append(keys, k)
+	}
+	r.mu.Unlock()
+	sort.Strings(keys)
+	out := make([]Series, 0, len(keys))
+	for _, k := range keys {
+		kind, label := split(k)
+		out = append(out, Series{kind, label, r.histogram(k).Summary()})
+	}
+	return out
+}
+
+func split(key string) (name, label string) {
+	for i := range key {
+		if key[i] == 0 {
+			return key[:i], key[i+1:]
+		}
+	}
+	return key, ""
+}
+
+// WriteText writes all values in the usual text exposition form.
+func (r *Registry) WriteText(w io.Writer) error {
+	var lines []string
+	r.counters.Each(func(key string, v any) {
+		c, ok := v.(metrics.Counter)
+		if !ok {
+			return
+		}
+		name, label := split(key)
+		lines = append(lines, fmt.Sprintf("sassafrasring_%s_total{label=%q} %d", name, label, c.Count()))
+	})
+	sort.Strings(lines)
+	for _, s := range r.Series() {
+		lines = append(lines, s.lines()...)
+	}
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(w, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s Series) lines() []string {
+	quantile := func(q string, ms float64) string {
+		return fmt.Sprintf("sassafrasring_latency_seconds{%s=%q,quantile=%q} %g", s.Kind, s.Label, q, ms/1000)
+	}
+	return []string{
+		quantile("0.5", s.Summary.P50Ms),
+		quantile("0.99", s.Summary.P99Ms),
+		quantile("0.999", s.Summary.P999Ms),
+		quantile("1", s.Summary.MaxMs),
+		fmt.Sprintf("sassafrasring_latency_seconds_count{%s=%q} %d", s.Kind, s.Label, s.Summary.Count),
+	}
+}
--- /dev/null
+++ b/internal/proc/stats/stats.go
@@ -0,0 +1,121 @@
+// Package stats measures latencies and counts, and exports them in the
+// registry's text form.
+package stats
+
+import (
+	"sync"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	lowestUs  = 1
+	highestUs = int64(10 * time.Minute / time.Microsecond)
+	// digits gives quantiles exact to 1%.
+	digits = 2
+)
+
+// Histogram records durations; quantiles are exact to 1%. It is safe for concurrent use.
+type Histogram struct {
+	mu sync.Mutex
+	h  *hdr.Histogram
+}
+
+// NewHistogram returns an empty histogram.
+func NewHistogram() *Histogram { return &Histogram{h: hdr.New(lowestUs, highestUs, digits)} }
+
+// Record adds one duration.
+func (h *Histogram) Record(d time.Duration) {
+	us := min(max(d.Microseconds(), lowestUs), highestUs)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.h.RecordValue(us)
+}
+
+// Summary is a histogram at one time.
+type Summary struct {
+	Count  int64   `json:"count"`
+	P50Ms  float64 `json:"p50_ms"`
+	P99Ms  float64 `json:"p99_ms"`
+	P999Ms float64 `json:"p999_ms"`
+	MaxMs  float64 `json:"max_ms"`
+}
+
+// Summary returns count, quantiles and the greatest value.
+func (h *Histogram) Summary() Summary {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Summary{
+		Count:  h.h.TotalCount(),
+		P50Ms:  ms(h.h.ValueAtQuantile(50)),
+		P99Ms:  ms(h.h.ValueAtQuantile(99)),
+		P999Ms: ms(h.h.ValueAtQuantile(99.9)),
+		MaxMs:  ms(h.h.Max()),
+	}
+}
+
+// Window holds the latencies of the last few seconds, for a quantile that
+// follows the present.
+type Window struct {
+	mu   sync.Mutex
+	h    *hdr.WindowedHistogram
+	next time.Duration
+	q    map[int64]time.Duration
+	till time.Duration
+}
+
+const (
+	windowParts = 5
+	windowPart  = 2 * time.Second
+	// quantileLife is how long a computed quantile is reused.
+	quantileLife = 100 * time.Millisecond
+	// windowLeast is the number of samples below which there is no quantile.
+	windowLeast = 20
+)
+
+// NewWindow returns an empty window.
+func NewWindow() *Window {
+	return &Window{h: hdr.NewWindowed(windowParts, lowestUs, highestUs, digits), q: map[int64]time.Duration{}}
+}
+
+// Record adds one duration at the time now.
+func (w *Window) Record(now, d time.Duration) {
+	us := min(max(d.Microseconds(), lowestUs), highestUs)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rotate(now)
+	_ = w.h.Current.RecordValue(us)
+}
+
+func (w *Window) rotate(now time.Duration) {
+	if now < w.next {
+		return
+	}
+	if w.next != 0 {
+		w.h.Rotate()
+	}
+	w.next = now + windowPart
+}
+
+// Quantile returns the given quantile in permille; ok is false with too few samples.
+func (w *Window) Quantile(now time.Duration, permille int64) (d time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now < w.till {
+		d, ok = w.q[permille]
+		if ok {
+			return d, d > 0
+		}
+	}
+	w.rotate(now)
+	w.till = now + quantileLife
+	clear(w.q)
+	m := w.h.Merge()
+	if m.TotalCount() >= windowLeast {
+		d = time.Duration(m.ValueAtQuantile(float64(permille)/10)) * time.Microsecond
+	}
+	w.q[permille] = d
+	return d, d > 0
+}
--- /dev/null
+++ b/internal/reqst/gather.go
@@ -0,0 +1,431 @@
+package reqst
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Query answers a query of an account.
+func (e *Engine) Query(ctx context.Context, a tier.Account, q tier.QueryRequest) tier.QueryAnswer {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	began := e.Clock.Now()
+	id := e.NewID()
+	ans := e.query(ctx, began, id, a, q)
+	ans.RequestID = id
+	if ans.Shards == nil {
+		ans.Shards = []tier.ShardAnswer{}
+	}
+	if ans.Missing == nil {
+		ans.Missing = []tier.MissingShard{}
+	}
+	e.Stats.Request(a, q.Service, q.Class, ans.Outcome, ans.Reason, e.Clock.Now()-began)
+	return ans
+}
+
+func notRun(why tier.Reason, after time.Duration) tier.QueryAnswer {
+	return tier.QueryAnswer{Outcome: tier.NotRun, Reason: why, RetryAfterMs: tier.ToMillis(after)}
+}
+
+func (e *Engine) query(ctx context.Context, now time.Duration, id tier.RequestID, a tier.Account, q tier.QueryRequest) tier.QueryAnswer {
+	print := Print(q.Service, q.Body)
+	hold, suspect := e.quarantined(print)
+	if hold > 0 {
+		event.RequestPoisonous.Log(e.Log, nil, logrus.Fields{"account": a, "service": q.Service, "fingerprint": print})
+		return notRun(tier.ReasonQuarantine, hold)
+	}
+	if e.Fleet.Catalog().Pin(q.Service) == nil {
+		return notRun(tier.ReasonNoServer, leastRetryAfter)
+	}
+	rank, _ := q.Class.Rank()
+	if why, after := e.enter(now, a, q.Service, rank); why != tier.ReasonNone {
+		return notRun(why, after)
+	}
+	g := &gather{
+		engine: e, id: id, query: q, rank: rank, print: print, suspect: suspect,
+		deadline: now + e.deadline(q.DeadlineMs, q.Service, a),
+	}
+	ans := g.run(ctx)
+	target := e.Fleet.Config().Millis(vers.KeyAdmitTarget, vers.Service(q.Service))
+	end := e.Clock.Now()
+	e.mu.Lock()
+	e.Gate.Leave(end, a, q.Service, end-now, g.queued, target, g.overload)
+	e.mu.Unlock()
+	if ans.Outcome != tier.Done {
+		ans.RetryAfterMs = max(ans.RetryAfterMs, tier.ToMillis(leastRetryAfter))
+	}
+	return ans
+}
+
+// gather runs the plans of one query.
+type gather struct {
+	engine   *Engine
+	id       tier.RequestID
+	query    tier.QueryRequest
+	rank     int
+	print    tier.Fingerprint
+	suspect  bool
+	deadline time.Duration
+	queued   time.Duration
+	overload bool
+
+	plan    *Plan
+	replies chan conn.Reply
+	cancels map[int]func()
+	sent    map[int]time.Duration
+	firsts  int
+}
+
+// mostRestarts bounds how often a query moves on to a newer snapshot.
+const mostRestarts = 2
+
+// run answers from one snapshot; where the pinned one vanished under the
+// query, the whole query starts again on the present one.
+func (g *gather) run(ctx context.Context) tier.QueryAnswer {
+	for try := 0; ; try++ {
+		l := g.engine.Fleet.Catalog().Pin(g.query.Service)
+		if l == nil {
+			return notRun(tier.ReasonNoServer, leastRetryAfter)
+		}
+		g.pursue(ctx, l)
+		g.queued = max(g.queued, g.plan.Queued())
+		g.overload = g.overload || g.plan.Overloaded()
+		if g.plan.Stale() && try < mostRestarts && g.moved(l) {
+			continue
+		}
+		return g.plan.Answer()
+	}
+}
+
+// moved reports whether the present snapshot is another one and time is left.
+func (g *gather) moved(l *vers.Layout) bool {
+	now := g.engine.Fleet.Catalog().Pin(g.query.Service)
+	return now != nil && now != l && g.engine.Clock.Now() < g.deadline
+}
+
+func (g *gather) pursue(ctx context.Context, l *vers.Layout) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e := g.engine
+	now := e.Clock.Now()
+	hedge, retry := e.spend(g.query.Service)
+	g.plan = &Plan{Layout: l, Terms: e.terms(now, g.deadline, g.query.Service, g.suspect), Select: g.pick, Hedge: hedge, Retry: retry}
+	g.replies = make(chan conn.Reply, len(l.Shards)+8)
+	g.cancels = make(map[int]func(), len(l.Shards))
+	g.sent = make(map[int]time.Duration, len(l.Shards))
+	e.earn(g.query.Service, len(l.Shards))
+	g.do(ctx, now, g.plan.Start(now))
+	g.loop(ctx)
+	g.endAll()
+}
+
+// loop feeds replies and time to the plan until it has finished or the caller went away.
+func (g *gather) loop(ctx context.Context) {
+	e := g.engine
+	timer := time.NewTimer(g.plan.Next() - e.Clock.Now())
+	defer timer.Stop()
+	for !g.plan.Finished() {
+		select {
+		case r := <-g.replies:
+			now := e.Clock.Now()
+			g.observe(now, r)
+			g.do(ctx, now, g.plan.Reply(now, r))
+		case <-timer.C:
+			now := e.Clock.Now()
+			g.do(ctx, now, g.plan.Tick(now))
+		case <-ctx.Done():
+			g.plan.Abort()
+			return
+		}
+		timer.Reset(g.plan.Next() - e.Clock.Now())
+	}
+}
+
+func (g *gather) pick(now time.Duration, shard tier.Shard, list []tier.Candidate) int {
+	e := g.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Board.Pick(now, g.query.Service, shard, list)
+}
+
+// observe tells the board what a reply says of its server.
+func (g *gather) observe(now time.Duration, r conn.Reply) {
+	sent, open := g.sent[r.Attempt]
+	if !open {
+		return
+	}
+	delete(g.sent, r.Attempt)
+	delete(g.cancels, r.Attempt)
+	e := g.engine
+	if r.Fate == conn.FateDone {
+		e.window(g.query.Service).Record(now, now-sent)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wait := time.Duration(r.WaitUs) * time.Microsecond
+	switch {
+	case r.Fate == conn.FateDone:
+		e.Board.Succeeded(now, r.Server, now-sent, wait)
+	case r.Reason == tier.ReasonLost || r.Reason == tier.ReasonNoOwner:
+		e.Board.Lost(now, r.Server)
+	case r.Reason == tier.ReasonServerError || r.Reason == tier.ReasonTruncated:
+		e.Board.Failed(now, r.Server)
+	default:
+		e.Board.Ended(r.Server)
+		e.Board.Waiting(now, r.Server, wait)
+	}
+}
+
+func (g *gather) do(ctx context.Context, now time.Duration, acts []Action) {
+	var batches map[tier.NodeID]*batch
+	for _, a := range acts {
+		switch a.Kind {
+		case ActSend:
+			g.add(ctx, &batches, now, a)
+		case ActCancel:
+			g.cancel(now, a)
+		case ActClear:
+			g.engine.clearSuspect(g.print)
+		}
+	}
+	for _, b := range batches {
+		g.launch(ctx, b)
+	}
+}
+
+// batch gathers the sub-queries that go to one owner.
+type batch struct {
+	peer conn.Peer
+	subs []conn.Sub
+}
+
+func (g *gather) add(ctx context.Context, batches *map[tier.NodeID]*batch, now time.Duration, a Action) {
+	e := g.engine
+	g.sent[a.Attempt] = now
+	e.mu.Lock()
+	e.Board.Sent(a.Server)
+	e.mu.Unlock()
+	peer, ok := e.Fleet.OwnerOf(a.Server)
+	if !ok {
+		rep := conn.Reply{Attempt: a.Attempt, Shard: a.Shard, Server: a.Server, Fate: conn.FateNotRun, Reason: tier.ReasonNoOwner}
+		out := g.replies
+		e.Workers.Go(func() { deliver(ctx, out, rep) })
+		return
+	}
+	if *batches == nil {
+		*batches = map[tier.NodeID]*batch{}
+	}
+	b := (*batches)[peer.Node]
+	if b == nil {
+		b = &batch{peer: peer}
+		(*batches)[peer.Node] = b
+	}
+	b.subs = append(b.subs, conn.Sub{Attempt: a.Attempt, Shard: a.Shard, Server: a.Server, Solo: a.Solo})
+}
+
+func (g *gather) cancel(now time.Duration, a Action) {
+	if f := g.cancels[a.Attempt]; f != nil {
+		f()
+		delete(g.cancels, a.Attempt)
+	}
+	if _, open := g.sent[a.Attempt]; !open {
+		return
+	}
+	delete(g.sent, a.Attempt)
+	e := g.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch a.Cause {
+	case CauseBeaten:
+		e.Board.Beaten(now, a.Server)
+	case CauseSilent:
+		e.Board.Lost(now, a.Server)
+	default:
+		e.Board.Ended(a.Server)
+	}
+}
+
+// endAll closes the books on what is still open.
+func (g *gather) endAll() {
+	e := g.engine
+	for id, f := range g.cancels {
+		f()
+		delete(g.cancels, id)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id := range g.sent {
+		e.Board.Ended(g.plan.attempts[id].server)
+	}
+}
+
+func (g *gather) launch(ctx context.Context, b *batch) {
+	msg := &conn.Batch{
+		Request: g.id, Service: g.query.Service, Snapshot: g.plan.Layout.Snapshot, Print: g.print, Rank: g.rank,
+		DeadlineMs: tier.ToMillis(g.deadline - g.engine.Clock.Now()), Body: g.query.Body, Subs: b.subs,
+	}
+	out := g.replies
+	if b.peer.Node == g.engine.Self {
+		for _, s := range b.subs {
+			sctx, cancel := context.WithCancel(ctx)
+			g.cancels[s.Attempt] = cancel
+			g.engine.Workers.Go(func() {
+				defer cancel()
+				deliver(ctx, out, g.engine.Owner.Query(sctx, msg, s, g.deadline))
+			})
+		}
+		return
+	}
+	r := &remote{engine: g.engine, peer: b.peer, msg: msg, out: out}
+	for _, s := range b.subs {
+		g.cancels[s.Attempt] = func() { r.cancel(s.Attempt) }
+	}
+	g.engine.Workers.Go(func() { r.run(ctx) })
+}
+
+// deliver passes a reply to the query unless it has ended.
+func deliver(ctx context.Context, out chan<- conn.Reply, r conn.Reply) {
+	select {
+	case out <- r:
+	case <-ctx.Done():
+	}
+}
+
+// remote is one batch at another owner.
+type remote struct {
+	engine *Engine
+	peer   conn.Peer
+	msg    *conn.Batch
+	out    chan<- conn.Reply
+
+	mu        sync.Mutex
+	stream    *conn.Stream
+	cancelled []int
+}
+
+func (r *remote) run(ctx context.Context) {
+	got := make(map[int]bool, len(r.msg.Subs))
+	sent, err := r.exchange(ctx, got)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	fate, why := conn.FateFailed, tier.ReasonLost
+	if !sent {
+		fate, why = conn.FateNotRun, tier.ReasonNoOwner
+	}
+	for _, s := range r.msg.Subs {
+		if !got[s.Attempt] {
+			deliver(ctx, r.out, conn.Reply{Attempt: s.Attempt, Shard: s.Shard, Server: s.Server, Fate: fate, Reason: why})
+		}
+	}
+}
+
+// exchange sends the batch and passes on the replies; sent is false where
+// nothing can have reached the owner.
+func (r *remote) exchange(ctx context.Context, got map[int]bool) (sent bool, err error) {
+	s, err := r.engine.Mesh.Open(ctx, r.peer, conn.KindQuery)
+	if err != nil {
+		return false, err
+	}
+	defer s.Cancel()
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+	if err := r.begin(s); err != nil {
+		return true, err
+	}
+	for len(got) < len(r.msg.Subs) {
+		var rep conn.Reply
+		if err := s.Recv(&rep); err != nil {
+			return true, err
+		}
+		got[rep.Attempt] = true
+		deliver(ctx, r.out, rep)
+	}
+	return true, nil
+}
+
+// begin sends the batch and the cancellations that came before it.
+func (r *remote) begin(s *conn.Stream) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stream = s
+	if err := s.Send(r.msg); err != nil {
+		return err
+	}
+	for _, a := range r.cancelled {
+		_ = s.Send(conn.Cancel{Attempt: a})
+	}
+	return nil
+}
+
+func (r *remote) cancel(attempt int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stream == nil {
+		r.cancelled = append(r.cancelled, attempt)
+		return
+	}
+	_ = r.stream.Send(conn.Cancel{Attempt: attempt})
+}
+
+// ServeQuery handles a query stream of another node.
+func (e *Engine) ServeQuery(ctx context.Context, s *conn.Stream) {
+	var b conn.Batch
+	if s.Recv(&b) != nil {
+		return
+	}
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	deadline := e.Clock.Now() + b.DeadlineMs.Duration()
+	srv := &served{stream: s, cancels: make(map[int]func(), len(b.Subs))}
+	var wait sync.WaitGroup
+	for _, sub := range b.Subs {
+		sctx, stop := context.WithCancel(ctx)
+		srv.cancels[sub.Attempt] = stop
+		wait.Add(1)
+		e.Workers.Go(func() {
+			defer wait.Done()
+			defer stop()
+			srv.send(e.Owner.Query(sctx, &b, sub, deadline))
+		})
+	}
+	e.Workers.Go(func() { srv.listen(cancel) })
+	wait.Wait()
+}
+
+// served is a batch at its owner.
+type served struct {
+	mu      sync.Mutex
+	stream  *conn.Stream
+	cancels map[int]func()
+}
+
+func (v *served) send(r conn.Reply) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_ = v.stream.Send(r)
+}
+
+// listen takes cancellations; the end of the stream cancels the whole batch.
+func (v *served) listen(cancel func()) {
+	defer cancel()
+	for {
+		var c conn.Cancel
+		if v.stream.Recv(&c) != nil {
+			return
+		}
+		if f := v.cancels[c.Attempt]; f != nil {
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/internal/reqst/plan.go
@@ -0,0 +1,478 @@
+package reqst
+
+import (
+	"encoding/json"
+	"time"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Terms are the configured values and signals that a plan goes by.
+type Terms struct {
+	// HedgeDelay is the time after which a sub-query may be hedged; 0 is never.
+	HedgeDelay time.Duration
+	// Timeout is the time after which a sub-query without any reply counts as lost.
+	Timeout time.Duration
+	// Deadline is when the query must be answered.
+	Deadline time.Duration
+	// Suspect runs the first sub-query alone before all others.
+	Suspect bool
+}
+
+// ActionKind is what the driver of a plan must do.
+type ActionKind uint8
+
+// Action kinds.
+const (
+	ActSend ActionKind = iota + 1
+	ActCancel
+	ActClear
+	ActFinish
+)
+
+// Cause says why a sub-query is cancelled.
+type Cause uint8
+
+// Causes.
+const (
+	CauseNone Cause = iota
+	CauseBeaten
+	CauseSilent
+)
+
+// Action is one thing to do. Send has all fields, Cancel has Attempt and Server.
+type Action struct {
+	Kind    ActionKind
+	Attempt int
+	Shard   tier.Shard
+	Server  tier.ServerID
+	Solo    bool
+	Hedge   bool
+	Cause   Cause
+}
+
+// attempt is one sub-query on its way.
+type attempt struct {
+	shard  int
+	server tier.ServerID
+	sent   time.Duration
+	hedge  bool
+	open   bool
+}
+
+// part is the state of one shard.
+type part struct {
+	done    bool
+	held    bool
+	missing bool
+	reason  tier.Reason
+	open    int
+	hedgeAt time.Duration
+	hedged  bool
+	tried   []tier.ServerID
+	server  tier.ServerID
+	data    json.RawMessage
+}
+
+// Plan decides the sub-queries of one query against one snapshot: events and
+// the time go in, actions come out.
+type Plan struct {
+	// Layout is the pinned snapshot.
+	Layout *vers.Layout
+	// Terms holds the values that the plan goes by.
+	Terms Terms
+	// Select chooses servers.
+	Select func(now time.Duration, shard tier.Shard, list []tier.Candidate) int
+	// Hedge and Retry spend one extra sub-query of the service's budgets.
+	Hedge, Retry func() bool
+
+	parts    []part
+	attempts []attempt
+	missing  int
+	done     int
+	deaths   int
+	canary   int
+	finished bool
+	overload bool
+	ran      bool
+	queued   time.Duration
+	acts     []Action
+	left     []tier.Candidate
+}
+
+// Start sends the first sub-queries.
+func (p *Plan) Start(now time.Duration) []Action {
+	p.parts = make([]part, len(p.Layout.Shards))
+	p.attempts = make([]attempt, 0, len(p.parts)+len(p.parts)/8+1)
+	p.acts = make([]Action, 0, len(p.parts)+1)
+	p.canary = -1
+	if p.Terms.Suspect {
+		p.startCanary(now)
+		return p.take()
+	}
+	p.startRest(now)
+	return p.take()
+}
+
+// startCanary sends only the first shard that has a server.
+func (p *Plan) startCanary(now time.Duration) {
+	for i := range p.parts {
+		if len(p.Layout.Shards[i]) > 0 {
+			p.canary = i
+			p.send(now, i, false, true)
+			return
+		}
+	}
+	p.startRest(now)
+}
+
+func (p *Plan) startRest(now time.Duration) {
+	for i := range p.parts {
+		if p.parts[i].done || p.parts[i].open > 0 || p.parts[i].missing {
+			continue
+		}
+		if !p.send(now, i, false, false) {
+			p.miss(i, tier.ReasonNoServer)
+		}
+	}
+	p.settle()
+}
+
+func (p *Plan) take() []Action {
+	a := p.acts
+	p.acts = p.acts[len(p.acts):]
+	return a
+}
+
+// send picks an untried server for a shard and sends; false means there is none.
+func (p *Plan) send(now time.Duration, shard int, hedge, solo bool) bool {
+	pt := &p.parts[shard]
+	list := p.untried(shard)
+	i := p.Select(now, tier.Shard(shard), list)
+	if i < 0 {
+		return false
+	}
+	id := list[i].Server
+	pt.tried = append(pt.tried, id)
+	pt.open++
+	if !hedge {
+		pt.hedgeAt = now + p.Terms.HedgeDelay
+	}
+	p.attempts = append(p.attempts, attempt{shard: shard, server: id, sent: now, hedge: hedge, open: true})
+	p.acts = append(p.acts, Action{Kind: ActSend, Attempt: len(p.attempts) - 1, Shard: tier.Shard(shard), Server: id, Solo: solo, Hedge: hedge})
+	return true
+}
+
+func (p *Plan) untried(shard int) []tier.Candidate {
+	all := p.Layout.Shards[shard]
+	tried := p.parts[shard].tried
+	if len(tried) == 0 {
+		return all
+	}
+	p.left = p.left[:0]
+	for _, c := range all {
+		if !contains(tried, c.Server) {
+			p.left = append(p.left, c)
+		}
+	}
+	return p.left
+}
+
+func contains(list []tier.ServerID, id tier.ServerID) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Reply takes a sub-query's reply. Late, repeated and mismatched ones change nothing.
+func (p *Plan) Reply(now time.Duration, r conn.Reply) []Action {
+	if p.finished || r.Attempt < 0 || r.Attempt >= len(p.attempts) {
+		return nil
+	}
+	a := &p.attempts[r.Attempt]
+	if !a.open || tier.Shard(a.shard) != r.Shard || a.server != r.Server {
+		return nil
+	}
+	a.open = false
+	p.parts[a.shard].open--
+	p.ran = p.ran || r.Fate != conn.FateNotRun
+	p.queued = max(p.queued, time.Duration(r.QueuedUs)*time.Microsecond)
+	if r.Fate == conn.FateDone && r.Snapshot == p.Layout.Snapshot {
+		p.won(now, r)
+	} else {
+		p.lost(now, a.shard, r)
+	}
+	p.settle()
+	return p.take()
+}
+
+func (p *Plan) won(now time.Duration, r conn.Reply) {
+	shard := p.attempts[r.Attempt].shard
+	pt := &p.parts[shard]
+	pt.done, pt.server, pt.data = true, r.Server, r.Data
+	p.done++
+	p.cancelOthers(shard, p.attempts[r.Attempt].hedge)
+	if p.canary == shard {
+		p.canary = -1
+		p.acts = append(p.acts, Action{Kind: ActClear})
+		p.startRest(now)
+	}
+	p.retryHeld(now)
+}
+
+func (p *Plan) cancelOthers(shard int, byHedge bool) {
+	for i := range p.attempts {
+		a := &p.attempts[i]
+		if a.open && a.shard == shard {
+			a.open = false
+			p.ran = true
+			p.parts[shard].open--
+			cause := CauseNone
+			if byHedge && !a.hedge {
+				cause = CauseBeaten
+			}
+			p.acts = append(p.acts, Action{Kind: ActCancel, Attempt: i, Shard: tier.Shard(shard), Server: a.server, Cause: cause})
+		}
+	}
+}
+
+// lost goes on with another server where that is allowed.
+func (p *Plan) lost(now time.Duration, shard int, r conn.Reply) {
+	pt := &p.parts[shard]
+	pt.reason = r.Reason
+	if r.Reason == tier.ReasonOverload || r.Reason == tier.ReasonShed {
+		p.overload = true
+	}
+	if r.Died {
+		p.died(now, shard)
+		return
+	}
+	if pt.done || pt.held || pt.open > 0 {
+		return
+	}
+	if !free(r.Reason) && !p.Retry() {
+		p.miss(shard, r.Reason)
+		return
+	}
+	if !p.send(now, shard, false, p.canary == shard) {
+		p.miss(shard, r.Reason)
+	}
+}
+
+// free reports whether another try costs servers nothing, because the first
+// one never got any work.
+func free(r tier.Reason) bool {
+	return r == tier.ReasonDraining || r == tier.ReasonNoOwner || r == tier.ReasonVersion
+}
+
+// died holds a shard whose server died: the query may be what killed it.
+func (p *Plan) died(now time.Duration, shard int) {
+	p.deaths++
+	if p.deaths > 1 || p.canary == shard || len(p.parts) == 1 {
+		p.giveUp(tier.ReasonQuarantine)
+		return
+	}
+	p.parts[shard].held = true
+	p.retryHeld(now)
+}
+
+// retryHeld retries the shard of the only death once all other shards have
+// answered: a query that ten other servers survived did not kill that one.
+func (p *Plan) retryHeld(now time.Duration) {
+	if p.deaths != 1 || p.finished {
+		return
+	}
+	held := -1
+	for i := range p.parts {
+		pt := &p.parts[i]
+		switch {
+		case pt.held && !pt.done:
+			held = i
+		case !pt.done && !pt.missing:
+			return
+		}
+	}
+	if held < 0 {
+		return
+	}
+	p.parts[held].held = false
+	p.deaths = 0
+	p.acts = append(p.acts, Action{Kind: ActClear})
+	if p.parts[held].open > 0 {
+		return
+	}
+	if !p.send(now, held, false, false) {
+		p.miss(held, tier.ReasonLost)
+	}
+}
+
+// giveUp ends the query at once.
+func (p *Plan) giveUp(why tier.Reason) {
+	for i := range p.parts {
+		if !p.parts[i].done && !p.parts[i].missing {
+			p.cancelOthers(i, false)
+			p.miss(i, why)
+		}
+	}
+}
+
+func (p *Plan) miss(shard int, why tier.Reason) {
+	pt := &p.parts[shard]
+	if pt.missing || pt.done {
+		return
+	}
+	pt.missing, pt.reason = true, why
+	p.missing++
+	if p.canary == shard {
+		p.canary = -1
+		for i := range p.parts {
+			if !p.parts[i].done && !p.parts[i].missing {
+				p.miss(i, why)
+			}
+		}
+	}
+}
+
+func (p *Plan) settle() {
+	if !p.finished && p.done+p.missing == len(p.parts) {
+		p.finished = true
+		if p.missing == 0 && p.deaths > 0 {
+			p.acts = append(p.acts, Action{Kind: ActClear})
+		}
+		p.acts = append(p.acts, Action{Kind: ActFinish})
+	}
+}
+
+// Next returns when Tick must be called next.
+func (p *Plan) Next() time.Duration {
+	next := p.Terms.Deadline
+	for i := range p.attempts {
+		if a := &p.attempts[i]; a.open {
+			next = min(next, a.sent+p.Terms.Timeout)
+		}
+	}
+	if !p.mayHedge() {
+		return next
+	}
+	for i := range p.parts {
+		if pt := &p.parts[i]; !pt.done && !pt.hedged && pt.open > 0 {
+			next = min(next, pt.hedgeAt)
+		}
+	}
+	return next
+}
+
+func (p *Plan) mayHedge() bool {
+	return p.Terms.HedgeDelay > 0 && p.deaths == 0 && p.canary < 0 && !p.overload
+}
+
+// Tick hedges slow sub-queries, gives up silent ones and keeps the deadline.
+func (p *Plan) Tick(now time.Duration) []Action {
+	if p.finished {
+		return nil
+	}
+	if now >= p.Terms.Deadline {
+		p.giveUp(tier.ReasonDeadline)
+		p.settle()
+		return p.take()
+	}
+	p.timeouts(now)
+	if p.mayHedge() {
+		p.hedges(now)
+	}
+	p.settle()
+	return p.take()
+}
+
+func (p *Plan) timeouts(now time.Duration) {
+	for i := range p.attempts {
+		a := &p.attempts[i]
+		if !a.open || now < a.sent+p.Terms.Timeout {
+			continue
+		}
+		a.open = false
+		p.ran = true
+		p.parts[a.shard].open--
+		p.acts = append(p.acts, Action{Kind: ActCancel, Attempt: i, Shard: tier.Shard(a.shard), Server: a.server, Cause: CauseSilent})
+		p.lost(now, a.shard, conn.Reply{Reason: tier.ReasonLost})
+	}
+}
+
+func (p *Plan) hedges(now time.Duration) {
+	for i := range p.parts {
+		pt := &p.parts[i]
+		if pt.done || pt.hedged || pt.open == 0 || now < pt.hedgeAt {
+			continue
+		}
+		if len(p.untried(i)) == 0 {
+			pt.hedged = true
+			continue
+		}
+		if !p.Hedge() {
+			pt.hedgeAt = now + p.Terms.HedgeDelay
+			continue
+		}
+		pt.hedged = true
+		p.send(now, i, true, false)
+	}
+}
+
+// Finished reports whether the answer is ready.
+func (p *Plan) Finished() bool { return p.finished }
+
+// Overloaded reports whether a server or owner refused a part for overload.
+func (p *Plan) Overloaded() bool { return p.overload }
+
+// Queued returns the longest time that a part waited at an owner.
+func (p *Plan) Queued() time.Duration { return p.queued }
+
+// Deaths reports whether the query was given up because servers died.
+func (p *Plan) Deaths() bool { return p.deaths > 0 }
+
+// Stale reports whether nothing but vanished holdings keeps the answer from being complete.
+func (p *Plan) Stale() bool {
+	stale := false
+	for i := range p.parts {
+		pt := &p.parts[i]
+		if pt.done {
+			continue
+		}
+		if pt.reason != tier.ReasonVersion && pt.reason != tier.ReasonDraining {
+			return false
+		}
+		stale = true
+	}
+	return stale
+}
+
+// Answer returns the answer with its coverage.
+func (p *Plan) Answer() tier.QueryAnswer {
+	a := tier.QueryAnswer{Snapshot: p.Layout.Snapshot, Shards: make([]tier.ShardAnswer, 0, p.done), Missing: []tier.MissingShard{}}
+	for i := range p.parts {
+		pt := &p.parts[i]
+		if pt.done {
+			a.Shards = append(a.Shards, tier.ShardAnswer{Shard: tier.Shard(i), Server: pt.server, Data: pt.data})
+			continue
+		}
+		a.Missing = append(a.Missing, tier.MissingShard{Shard: tier.Shard(i), Reason: pt.reason})
+	}
+	a.Outcome = tier.Done
+	if len(a.Missing) > 0 {
+		a.Outcome, a.Reason = tier.Partial, a.Missing[0].Reason
+	}
+	if !p.ran {
+		a.Outcome = tier.NotRun
+	}
+	return a
+}
+
+// Abort ends a query whose caller went away.
+func (p *Plan) Abort() {
+	p.giveUp(tier.ReasonCanceled)
+	p.finished = true
+}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,154 @@
+// Package setup reads and checks a node's settings: JSON with comments.
+package setup
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Roles of a node.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+)
+
+// Settings is the whole of a node's settings. The tags doc, unit, default and
+// allow describe each key; docs/SETTINGS.md is made from them.
+type Settings struct {
+	Node         tier.NodeID  `json:"node" doc:"Name of the node, unique in the fleet; its certificate carries it as a DNS name." allow:"1 to 63 letters, digits and dashes"`
+	Zone         tier.Zone    `json:"zone" doc:"Availability zone." allow:"1 to 63 letters, digits and dashes"`
+	Roles        []string     `json:"roles" doc:"What the node does." allow:"entry, control" default:"[\"entry\"]"`
+	Callers      string       `json:"callers" doc:"Address on which callers, servers and operators are served (HTTP)." allow:"ip:port"`
+	Advertise    string       `json:"advertise" doc:"Address that callers are told, if not the one in callers." allow:"ip:port" default:"callers"`
+	Peers        string       `json:"peers" doc:"Address on which other nodes are served (QUIC)." allow:"ip:port"`
+	Data         string       `json:"data" doc:"Data folder of the control role." allow:"a path; required with the control role"`
+	Found        bool         `json:"found" doc:"Whether this node founds the control cluster once all control hosts have been heard from and none holds state." default:"false"`
+	Control      []conn.Peer  `json:"control" doc:"The control hosts: node name and address for nodes (peer)." allow:"1 to 7 hosts"`
+	TLS          TLS          `json:"tls" doc:"Certificates between nodes; mutual TLS is always on."`
+	CallerTLS    TLS          `json:"caller_tls" doc:"Certificate towards callers, servers and operators; empty is plain HTTP. With ca, clients must show a certificate of it."`
+	Accounts     []Credential `json:"accounts" doc:"Accounts of callers."`
+	Operators    []Credential `json:"operators" doc:"Accounts of operators."`
+	ServerTokens []string     `json:"server_tokens" doc:"SHA-256 of the tokens with which servers may announce themselves, in hex." allow:"64 hex digits each"`
+	Log          Log          `json:"log" doc:"Logs, on standard error."`
+	Limits       Limits       `json:"limits" doc:"Limits towards callers."`
+}
+
+// TLS names PEM files.
+type TLS struct {
+	CA   string `json:"ca" doc:"File with the CA's certificate." allow:"a path"`
+	Cert string `json:"cert" doc:"File with the certificate." allow:"a path"`
+	Key  string `json:"key" doc:"File with the private key." allow:"a path"`
+}
+
+// Credential is a name with the hash of its secret.
+type Credential struct {
+	Name   string `json:"name" doc:"Name of the account." allow:"1 to 100 bytes, no colon"`
+	SHA256 string `json:"sha256" doc:"SHA-256 of the secret, in hex (sassafrasring hash)." allow:"64 hex digits"`
+}
+
+// Log says how to log.
+type Log struct {
+	Level  string `json:"level" doc:"Least level." allow:"debug, info, warn, error" default:"info"`
+	Format string `json:"format" doc:"Form of the lines." allow:"json, text" default:"json"`
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	BodyBytes   int64       `json:"body_bytes" doc:"Largest request body." unit:"bytes" allow:"1024 to 16777216" default:"1048576"`
+	HeaderBytes int         `json:"header_bytes" doc:"Largest request header." unit:"bytes" allow:"1024 to 1048576" default:"16384"`
+	ReadMs      tier.Millis `json:"read_ms" doc:"Longest time in which a request must have arrived." unit:"ms" allow:"100 to 60000" default:"5000"`
+	Connections int         `json:"connections" doc:"Most connections of callers, servers and operators." allow:"1 to 1000000" default:"20000"`
+	FanOut      int         `json:"fan_out" doc:"Most shards that one query may have." allow:"1 to 10000" default:"1000"`
+}
+
+// Defaults returns settings in which every key with a default has it.
+func Defaults() Settings {
+	return Settings{
+		Roles:  []string{RoleEntry},
+		Log:    Log{Level: "info", Format: "json"},
+		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, ReadMs: 5000, Connections: 20000, FanOut: 1000},
+	}
+}
+
+// HasRole reports whether the node has a role.
+func (s *Settings) HasRole(role string) bool {
+	for _, r := range s.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Problem is one thing wrong with a settings file.
+type Problem struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Key     string `json:"key"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
+// Error gives the problem on one line.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s is not allowed; allowed: %s", p.File, p.Line, p.Key, p.Value, p.Allowed)
+}
+
+// Problems is all that is wrong with a settings file.
+type Problems []Problem
+
+// Error gives one line per problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, q := range p {
+		lines[i] = q.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file as a whole.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, tier.At("read settings", path, err)
+	}
+	return Parse(path, b)
+}
+
+// Parse checks the text of a settings file; the error is Problems.
+func Parse(path string, text []byte) (Settings, error) {
+	s := Defaults()
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return s, Problems{{File: path, Line: lineOfError(err, text), Key: "(file)", Value: err.Error(), Allowed: "JSON with comments"}}
+	}
+	c := &checker{file: path, text: text, root: root}
+	c.shape(root, "", shapeOf(s))
+	if len(c.problems) > 0 {
+		return s, c.problems
+	}
+	plain := append([]byte(nil), text...)
+	plain, err = hujson.Standardize(plain)
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(plain)).Decode(&s)
+	}
+	if err != nil {
+		return s, Problems{{File: path, Line: 1, Key: "(file)", Value: err.Error(), Allowed: "values of the types in the schema"}}
+	}
+	if s.Advertise == "" {
+		s.Advertise = s.Callers
+	}
+	c.values(&s)
+	if len(c.problems) > 0 {
+		return s, c.problems
+	}
+	return s, nil
+}
--- /dev/null
+++ b/pkg/tier/ids.go
@@ -0,0 +1,97 @@
+// Package tier holds the ids, units, outcomes, errors and interfaces of
+// sassafrasring. Implementations live in the packages below internal/.
+package tier
+
+import (
+	"strings"
+	"time"
+)
+
+// NodeID names one sassafrasring process; unique in the fleet, from settings.
+type NodeID string
+
+// Instance distinguishes successive starts of one node or server.
+type Instance uint64
+
+// Zone names an availability zone.
+type Zone string
+
+// ServerID names one back-end server.
+type ServerID string
+
+// Service names a group of servers that answer the same kind of request.
+type Service string
+
+// Shard is the index of a shard within the layout of a snapshot, from 0.
+type Shard uint16
+
+// IndexVersion numbers the versions of a service's index, ascending.
+type IndexVersion uint64
+
+// Account names a caller; one account may be a whole office.
+type Account string
+
+// Operator names a person or script that changes the configuration.
+type Operator string
+
+// RequestID correlates one request on every hop.
+type RequestID string
+
+// ChangeID makes a configuration change idempotent.
+type ChangeID string
+
+// ClaimID names one attempt to run a write.
+type ClaimID string
+
+// ConfigVersion numbers accepted configurations, ascending from 1.
+type ConfigVersion uint64
+
+// Fingerprint identifies the content of a request: xxhash64 of service and body.
+type Fingerprint uint64
+
+// Term is an election term of the replicated log.
+type Term uint64
+
+// Index is a position in the replicated log, from 1.
+type Index uint64
+
+// ReplicaID names one incarnation of a control replica: "node#incarnation".
+// A replica that lost its disk gets a new incarnation and so a new id.
+type ReplicaID string
+
+// Node returns the node part of the id.
+func (r ReplicaID) Node() NodeID {
+	name, _, _ := strings.Cut(string(r), "#")
+	return NodeID(name)
+}
+
+// Millis is a duration in milliseconds, as it stands in settings and on the wire.
+type Millis int64
+
+// Duration converts m to a time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// ToMillis converts d to Millis, rounding up so that a positive d never becomes 0.
+func ToMillis(d time.Duration) Millis {
+	return Millis((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Snapshot is an index version together with its shard layout.
+type Snapshot struct {
+	Version IndexVersion `json:"version" cbor:"1,keyasint"`
+	Shards  Shard        `json:"shards" cbor:"2,keyasint"`
+}
+
+// Less orders snapshots from oldest to newest.
+func (s Snapshot) Less(o Snapshot) bool {
+	if s.Version != o.Version {
+		return s.Version < o.Version
+	}
+	return s.Shards < o.Shards
+}
+
+// Holding says that a server holds one shard of one snapshot.
+type Holding struct {
+	Snapshot Snapshot `json:"snapshot" cbor:"1,keyasint"`
+	Shard    Shard    `json:"shard" cbor:"2,keyasint"`
+}
