--- a/internal/cmdln/cert.go
+++ b/internal/cmdln/cert.go
@@ -1,160 +1,31 @@
 package cmdln
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
-	"os"
-	"path/filepath"
-	"time"
-
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"sassafrasring.dev/sassafrasring/pkg/tier"
-)
-
-const (
-	certLife   = 5 * 365 * 24 * time.Hour
-	serialBits = 120
-	keyMode    = 0o600
-	certMode   = 0o644
+	"sassafrasring.dev/sassafrasring/internal/cert"
 )
 
-func certCommand(o *options) *cobra.Command {
-	var dir string
+func certCommand(_ *options) *cobra.Command {
+	m := &cert.Maker{}
 	var nodes, ips []string
 	cmd := &cobra.Command{
 		Use: "cert", Short: "Make a CA, if there is none, and certificates of nodes", Args: cobra.NoArgs,
 		Example: "  sassafrasring cert --dir tls --node zg-a-1 --node os-a-1 --ip 10.0.0.1",
 		RunE: func(*cobra.Command, []string) error {
-			m := &maker{dir: dir}
-			if err := m.loadCA(); err != nil {
+			if err := m.Open(); err != nil {
 				return err
 			}
 			for _, n := range nodes {
-				if err := m.node(n, ips); err != nil {
+				if err := m.Node(n, ips); err != nil {
 					return err
 				}
 			}
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&dir, "dir", ".", "folder of the files ca.pem, ca.key, NODE.pem, NODE.key")
+	cmd.Flags().StringVar(&m.Folder, "dir", ".", "folder of the files ca.pem, ca.key, NODE.pem, NODE.key")
 	cmd.Flags().StringArrayVar(&nodes, "node", nil, "name of a node; may be repeated")
 	cmd.Flags().StringArrayVar(&ips, "ip", nil, "IP address in the certificates; may be repeated")
 	return cmd
 }
-
-// maker makes certificates in a folder.
-type maker struct {
-	dir string
-	ca  *x509.Certificate
-	key *ecdsa.PrivateKey
-}
-
-func (m *maker) path(name string) string { return filepath.Join(m.dir, name) }
-
-func (m *maker) loadCA() error {
-	cert, err := os.ReadFile(m.path("ca.pem"))
-	if os.IsNotExist(err) {
-		return m.makeCA()
-	}
-	if err != nil {
-		return tier.At("read CA", m.dir, err)
-	}
-	key, err := os.ReadFile(m.path("ca.key"))
-	if err != nil {
-		return tier.At("read CA", m.dir, err)
-	}
-	c, k := firstBlock(cert), firstBlock(key)
-	if m.ca, err = x509.ParseCertificate(c); err != nil {
-		return tier.At("parse CA", m.dir, err)
-	}
-	m.key, err = x509.ParseECPrivateKey(k)
-	return tier.At("parse CA", m.dir, err)
-}
-
-func firstBlock(b []byte) []byte {
-	if p, _ := pem.Decode(b); p != nil {
-		return p.Bytes
-	}
-	return nil
-}
-
-func (m *maker) makeCA() error {
-	if err := os.MkdirAll(m.dir, 0o755); err != nil {
-		return tier.At("make folder", m.dir, err)
-	}
-	t, err := template("sassafrasring CA")
-	if err != nil {
-		return err
-	}
-	t.IsCA, t.BasicConstraintsValid = true, true
-	t.KeyUsage = x509.KeyUsageCertSign
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return err
-	}
-	m.ca, m.key = t, key
-	return m.write("ca", t, key)
-}
-
-func (m *maker) node(name string, ips []string) error {
-	t, err := template(name)
-	if err != nil {
-		return err
-	}
-	t.DNSNames = []string{name}
-	t.KeyUsage = x509.KeyUsageDigitalSignature
-	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	for _, s := range ips {
-		ip := net.ParseIP(s)
-		if ip == nil {
-			return errors.Errorf("--ip %q is not an IP address", s)
-		}
-		t.IPAddresses = append(t.IPAddresses, ip)
-	}
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return err
-	}
-	return m.write(name, t, key)
-}
-
-func template(name string) (*x509.Certificate, error) {
-	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
-	if err != nil {
-		return nil, err
-	}
-	return &x509.Certificate{
-		SerialNumber: serial,
-		Subject:      pkix.Name{CommonName: name},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(certLife),
-	}, nil
-}
-
-func (m *maker) write(name string, t *x509.Certificate, key *ecdsa.PrivateKey) error {
-	der, err := x509.CreateCertificate(rand.Reader, t, m.ca, &key.PublicKey, m.key)
-	if err != nil {
-		return errors.Wrap(err, "sign certificate of "+name)
-	}
-	kb, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		return err
-	}
-	if err := m.file(name+".key", "EC PRIVATE KEY", kb, keyMode); err != nil {
-		return err
-	}
-	return m.file(name+".pem", "CERTIFICATE", der, certMode)
-}
-
-func (m *maker) file(name, kind string, b []byte, mode os.FileMode) error {
-	return tier.At("write", m.path(name), os.WriteFile(m.path(name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), mode))
-}
--- a/internal/conn/mesh.go
+++ b/internal/conn/mesh.go
@@ -55,6 +55,8 @@
 	Certs *Certs
 	// Handlers serves streams by kind.
 	Handlers map[Kind]Handler
+	// Wrap, if not nil, is put around the UDP socket, to count or lose packets.
+	Wrap func(net.PacketConn) net.PacketConn
 	// Refused is told of peers that failed authentication; may be nil.
 	Refused func(err error)
 
@@ -88,6 +90,9 @@
 		return tier.At("listen for peers", m.Listen, err)
 	}
 	m.transport = &quic.Transport{Conn: sock}
+	if m.Wrap != nil {
+		m.transport.Conn = m.Wrap(sock)
+	}
 	m.listener, err = m.transport.Listen(m.Certs.ServerConfig([]string{protocolName}, true), quicConfig())
 	if err != nil {
 		_ = sock.Close()
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -118,6 +118,7 @@
 func (p *Pool) leave(t *Ticket, why tier.Reason) tier.Reason {
 	p.mu.Lock()
 	left := p.slots.Leave(t)
+	p.slots.Next(p.clock.Now())
 	p.mu.Unlock()
 	if left {
 		return why
--- /dev/null
+++ b/internal/load/compare.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"sassafrasring.dev/sassafrasring/internal/node"
+	"sassafrasring.dev/sassafrasring/internal/proc/store"
+	"sassafrasring.dev/sassafrasring/internal/stand"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/client"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// Experiment runs the variants in turn, interleaved, on the same seeds.
+func (r *Runner) Experiment(ctx context.Context) ([]Report, error) {
+	var out []Report
+	seed, streams := r.Spec.Seed, r.Spec.Streams
+	for rep := range max(1, r.Spec.Repeats) {
+		for _, v := range r.Spec.Variants {
+			r.Spec.Seed = seed + uint64(rep)*1000
+			r.Spec.Streams = rated(streams, v)
+			if err := r.prepare(ctx, v); err != nil {
+				return out, err
+			}
+			one, err := r.Run(ctx)
+			if err != nil {
+				return out, err
+			}
+			one.Variant = v.Name
+			out = append(out, one)
+		}
+	}
+	r.Spec.Seed, r.Spec.Streams = seed, streams
+	return out, r.prepare(ctx, Variant{Name: "end"})
+}
+
+func rated(streams []Stream, v Variant) []Stream {
+	out := append([]Stream(nil), streams...)
+	for i := range out {
+		if rate, ok := v.RateOf[string(out[i].Service)]; ok {
+			out[i].Rate = rate
+		}
+	}
+	return out
+}
+
+// prepare heals all faults, sets the variant's and puts its defaults in force.
+func (r *Runner) prepare(ctx context.Context, v Variant) error {
+	faults := append([]stand.Fault{{Match: "*", Revive: true}}, v.Faults...)
+	for _, f := range faults {
+		if err := r.fault(ctx, f); err != nil {
+			return err
+		}
+	}
+	ops := &client.Client{Entries: r.Spec.Entries, Name: r.Spec.Operator, Secret: r.Spec.OperatorSecret}
+	var now vers.Config
+	if err := ops.Ops(ctx, http.MethodGet, "/v1/ops/config", nil, &now); err != nil {
+		return err
+	}
+	next := vers.Config{Defaults: v.Defaults}
+	ch := vers.Change{ID: tier.ChangeID(fmt.Sprintf("experiment-%d-%d", now.Version, time.Now().UnixNano())), Base: now.Version, Reason: "experiment " + v.Name, Edits: []vers.Edit{{Revert: &next}}}
+	var res store.ChangeResult
+	if err := ops.Ops(ctx, http.MethodPost, "/v1/ops/config", ch, &res); err != nil {
+		return err
+	}
+	path := client.Path("/v1/ops/config/lagging", "version", strconv.FormatUint(uint64(res.Version), 10))
+	for {
+		var l node.Lagging
+		if err := ops.Ops(ctx, http.MethodGet, path, nil, &l); err != nil || len(l.Nodes) == 0 {
+			time.Sleep(settle)
+			return err
+		}
+		time.Sleep(settle / 5)
+	}
+}
+
+// Print writes a row per run and stream.
+func Print(w io.Writer, reps []Report) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "VARIANT\tSERVICE\tCLASS\tSENT\tDONE\tPARTIAL\tNOT RUN\tUNKNOWN\tERRORS\tP50\tP99\tP99.9\tCOVERAGE\tGOODPUT/S\tREFUSED P50\tEXTRA LOAD\tOVER SLOTS\tCPU us/SUB\tWRONG")
+	for _, r := range reps {
+		for _, s := range r.Streams {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.4f\t%.1f\t%.1f\t%.2f%%\t%d\t%.0f\t%d\n",
+				r.Variant, s.Service, s.Class, s.Sent, s.Outcomes["done"], s.Outcomes["partial"], s.Outcomes["not_run"], s.Outcomes["unknown"], s.Errors,
+				s.P50Ms, s.P99Ms, s.P999Ms, s.Coverage, s.Goodput, s.RefusedMs, 100*r.ExtraLoad, r.Overrun, r.CPUMicros, r.Wrongs.Sum())
+		}
+	}
+	return t.Flush()
+}
+
+// Plot draws the p99 of every second, a line per run and stream, as PNG.
+func Plot(path string, reps []Report) error {
+	p := plot.New()
+	p.Title.Text = "p99 by second"
+	p.X.Label.Text, p.Y.Label.Text = "s", "ms"
+	for i, r := range reps {
+		for _, s := range r.Streams {
+			pts := make(plotter.XYs, len(s.PerSecond)-1)
+			for j := range pts {
+				pts[j].X, pts[j].Y = float64(j), s.PerSecond[j].P99Ms
+			}
+			line, err := plotter.NewLine(pts)
+			if err != nil {
+				return err
+			}
+			line.Color = plotColor(i)
+			p.Add(line)
+			p.Legend.Add(r.Variant+" "+string(s.Service), line)
+		}
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	c, err := p.WriterTo(plotWidth, plotHeight, "png")
+	if err == nil {
+		_, err = c.WriteTo(f)
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	return err
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,378 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"sassafrasring.dev/sassafrasring/internal/stand"
+	"sassafrasring.dev/sassafrasring/pkg/client"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+const (
+	mostUs       = int64(2 * time.Minute / time.Microsecond)
+	digits       = 3
+	settle       = 500 * time.Millisecond
+	callTimeout  = 30 * time.Second
+	connsPerHost = 512
+)
+
+// StreamReport is what one stream saw. Latencies are from the time at which
+// a request was due, so that a stall delays none of the following from view.
+type StreamReport struct {
+	Service   tier.Service     `json:"service"`
+	Class     tier.Class       `json:"class"`
+	Sent      int64            `json:"sent"`
+	Outcomes  map[string]int64 `json:"outcomes"`
+	Reasons   map[string]int64 `json:"reasons"`
+	Errors    int64            `json:"errors"`
+	FirstErr  string           `json:"first_error,omitempty"`
+	Coverage  float64          `json:"coverage"`
+	P50Ms     float64          `json:"p50_ms"`
+	P99Ms     float64          `json:"p99_ms"`
+	P999Ms    float64          `json:"p999_ms"`
+	MaxMs     float64          `json:"max_ms"`
+	RefusedMs float64          `json:"refused_p50_ms"`
+	Goodput   float64          `json:"goodput"`
+	// PerSecond has the p99 in ms and the complete answers of each measured second.
+	PerSecond []Second `json:"per_second"`
+}
+
+// Second is one second of a run.
+type Second struct {
+	P99Ms    float64 `json:"p99_ms"`
+	Done     int64   `json:"done"`
+	NotDone  int64   `json:"not_done"`
+	Coverage float64 `json:"coverage"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Variant   string         `json:"variant,omitempty"`
+	Streams   []StreamReport `json:"streams"`
+	Wrongs    Wrongs         `json:"wrongs"`
+	Needed    int64          `json:"sub_requests_needed"`
+	Received  int64          `json:"sub_requests_received"`
+	ExtraLoad float64        `json:"extra_load"`
+	Overrun   int64          `json:"over_slots"`
+	Shed      int64          `json:"shed"`
+	Deaths    int64          `json:"server_deaths"`
+	MostConns int64          `json:"most_connections"`
+	CPUMicros float64        `json:"cpu_us_per_sub_request"`
+	CPUCores  float64        `json:"cpu_cores"`
+}
+
+// tally gathers the samples of one stream.
+type tally struct {
+	mu       sync.Mutex
+	rep      StreamReport
+	all      *hdr.Histogram
+	refused  *hdr.Histogram
+	seconds  []*hdr.Histogram
+	covered  float64
+	queries  float64
+	needed   int64
+	wrongs   Wrongs
+	answered int64
+}
+
+func newTally(s Stream, seconds int) *tally {
+	t := &tally{all: hdr.New(1, mostUs, digits), refused: hdr.New(1, mostUs, digits)}
+	t.rep = StreamReport{Service: s.Service, Class: s.Class, Outcomes: map[string]int64{}, Reasons: map[string]int64{}, PerSecond: make([]Second, seconds+1)}
+	for range seconds + 1 {
+		t.seconds = append(t.seconds, hdr.New(1, mostUs, digits))
+	}
+	return t
+}
+
+// result is one request's outcome.
+type result struct {
+	at       time.Duration
+	took     time.Duration
+	outcome  tier.Outcome
+	reason   tier.Reason
+	coverage float64
+	needed   int
+	wrongs   Wrongs
+	err      error
+}
+
+func (t *tally) add(r result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rep.Sent++
+	t.wrongs.add(r.wrongs)
+	second := min(max(int(r.at/time.Second), 0), len(t.seconds)-1)
+	if r.err != nil {
+		t.rep.Errors++
+		t.rep.PerSecond[second].NotDone++
+		if t.rep.FirstErr == "" {
+			t.rep.FirstErr = r.err.Error()
+		}
+		return
+	}
+	t.rep.Outcomes[string(r.outcome)]++
+	if r.reason != tier.ReasonNone {
+		t.rep.Reasons[string(r.reason)]++
+	}
+	us := min(max(r.took.Microseconds(), 1), mostUs)
+	t.needed += int64(r.needed)
+	if r.outcome == tier.NotRun {
+		_ = t.refused.RecordValue(us)
+		t.rep.PerSecond[second].NotDone++
+		return
+	}
+	_ = t.all.RecordValue(us)
+	_ = t.seconds[second].RecordValue(us)
+	t.covered += r.coverage
+	t.queries++
+	t.rep.PerSecond[second].Coverage += r.coverage
+	if r.outcome == tier.Done {
+		t.rep.PerSecond[second].Done++
+	} else {
+		t.rep.PerSecond[second].NotDone++
+	}
+}
+
+func (t *tally) report(seconds float64) StreamReport {
+	ms := func(h *hdr.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	r := t.rep
+	r.P50Ms, r.P99Ms, r.P999Ms, r.MaxMs = ms(t.all, 50), ms(t.all, 99), ms(t.all, 99.9), float64(t.all.Max())/1000
+	r.RefusedMs = ms(t.refused, 50)
+	r.Goodput = float64(r.Outcomes[string(tier.Done)]) / seconds
+	if t.queries > 0 {
+		r.Coverage = t.covered / t.queries
+	}
+	for i := range r.PerSecond {
+		p := &r.PerSecond[i]
+		p.P99Ms = ms(t.seconds[i], 99)
+		if n := t.seconds[i].TotalCount(); n > 0 {
+			p.Coverage /= float64(n)
+		}
+	}
+	return r
+}
+
+// Runner runs loads.
+type Runner struct {
+	// Spec describes the load.
+	Spec Spec
+
+	client *client.Client
+	writes *writeLog
+}
+
+func (r *Runner) init() {
+	r.writes = &writeLog{last: map[uint64]tier.Outcome{}}
+	r.client = &client.Client{
+		Entries: r.Spec.Entries, Name: r.Spec.Account, Secret: r.Spec.Secret,
+		HTTP: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: connsPerHost}},
+	}
+}
+
+// Run warms up, measures and checks.
+func (r *Runner) Run(ctx context.Context) (Report, error) {
+	r.init()
+	warm := time.Duration(r.Spec.WarmupSeconds * float64(time.Second))
+	if warm > 0 {
+		r.drive(ctx, warm, r.Spec.Seed+1, nil)
+		time.Sleep(settle)
+	}
+	before, err := r.counters(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	cpu := cpuSeconds(r.Spec.Pids)
+	d := time.Duration(r.Spec.Seconds * float64(time.Second))
+	tallies := r.drive(ctx, d, r.Spec.Seed, r.Spec.Events)
+	spent := cpuSeconds(r.Spec.Pids) - cpu
+	time.Sleep(settle)
+	after, err := r.counters(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	rep := Report{
+		Received: after.Received - before.Received, Overrun: after.Overrun - before.Overrun, Shed: after.Shed - before.Shed,
+		Deaths: after.Deaths - before.Deaths, MostConns: after.MostConns, CPUCores: spent / r.Spec.Seconds,
+	}
+	for _, t := range tallies {
+		rep.Streams = append(rep.Streams, t.report(r.Spec.Seconds))
+		rep.Wrongs.add(t.wrongs)
+		rep.Needed += t.needed
+	}
+	if rep.Needed > 0 {
+		rep.ExtraLoad = float64(rep.Received)/float64(rep.Needed) - 1
+		rep.CPUMicros = spent * 1e6 / float64(rep.Needed)
+	}
+	return rep, r.checkWrites(ctx, &rep)
+}
+
+func (r *Runner) checkWrites(ctx context.Context, rep *Report) error {
+	runs := map[uint64]int{}
+	for _, s := range r.Spec.Standins {
+		var part map[uint64]int
+		if err := getJSON(ctx, "http://"+s+"/runs", &part); err != nil {
+			return err
+		}
+		for h, n := range part {
+			runs[h] += n
+		}
+	}
+	rep.Wrongs.add(r.writes.compare(runs))
+	return nil
+}
+
+func (r *Runner) counters(ctx context.Context) (stand.Counters, error) {
+	var all stand.Counters
+	for _, s := range r.Spec.Standins {
+		var rep stand.Report
+		if err := getJSON(ctx, "http://"+s+"/counters", &rep); err != nil {
+			return all, err
+		}
+		all.Received += rep.Total.Received
+		all.Overrun += rep.Total.Overrun
+		all.Shed += rep.Total.Shed
+		all.Deaths += rep.Total.Deaths
+		all.MostConns = max(all.MostConns, rep.Total.MostConns)
+	}
+	return all, nil
+}
+
+func getJSON(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return tier.At("get", url, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return tier.At("decode", url, json.NewDecoder(resp.Body).Decode(out))
+}
+
+// drive runs all streams for d.
+func (r *Runner) drive(ctx context.Context, d time.Duration, seed uint64, events []Event) []*tally {
+	var wait sync.WaitGroup
+	var tallies []*tally
+	start := time.Now()
+	for i, s := range r.Spec.Streams {
+		t := newTally(s, int(d/time.Second))
+		tallies = append(tallies, t)
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			r.stream(ctx, s, t, start, d, rand.New(rand.NewPCG(seed, uint64(i))))
+		}()
+	}
+	for _, e := range events {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			time.Sleep(time.Duration(e.AtSeconds * float64(time.Second)))
+			_ = r.fault(ctx, e.Fault)
+		}()
+	}
+	wait.Wait()
+	return tallies
+}
+
+func (r *Runner) fault(ctx context.Context, f stand.Fault) error {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	for _, s := range r.Spec.Standins {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s+"/fault", bytes.NewReader(b))
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return tier.At("set fault", s, err)
+		}
+		_ = resp.Body.Close()
+	}
+	return nil
+}
+
+// stream sends requests at exponentially distributed intervals, whether or
+// not the former ones have been answered.
+func (r *Runner) stream(ctx context.Context, s Stream, t *tally, start time.Time, d time.Duration, rnd *rand.Rand) {
+	var wait sync.WaitGroup
+	due := time.Duration(0)
+	for n := 0; s.Rate > 0; n++ {
+		due += time.Duration(rnd.ExpFloat64() / s.Rate * float64(time.Second))
+		if due >= d || ctx.Err() != nil {
+			break
+		}
+		body := fmt.Appendf(nil, `{"n":%d,"id":"%x"}`, n, rnd.Uint64())
+		again := s.Write && rnd.Float64() < s.ResendShare
+		time.Sleep(time.Until(start.Add(due)))
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			t.add(r.request(ctx, s, body, again, start, due))
+		}()
+	}
+	wait.Wait()
+}
+
+func (r *Runner) request(ctx context.Context, s Stream, body []byte, again bool, start time.Time, due time.Duration) result {
+	var res result
+	if s.Write {
+		res = r.sendWrite(ctx, s, body, again)
+	} else {
+		res = r.query(ctx, s, body)
+	}
+	res.at = due
+	res.took = time.Since(start.Add(due))
+	return res
+}
+
+func (r *Runner) query(ctx context.Context, s Stream, body []byte) result {
+	a, err := r.client.Query(ctx, tier.QueryRequest{Service: s.Service, Body: body, Class: s.Class, DeadlineMs: s.DeadlineMs})
+	if err != nil {
+		return result{err: err}
+	}
+	res := result{outcome: a.Outcome, reason: a.Reason, wrongs: checkQuery(&a, body)}
+	if a.Outcome != tier.NotRun {
+		res.needed = int(a.Snapshot.Shards)
+		res.coverage = float64(len(a.Shards)) / float64(max(1, a.Snapshot.Shards))
+	}
+	return res
+}
+
+func (r *Runner) sendWrite(ctx context.Context, s Stream, body []byte, again bool) result {
+	w := tier.WriteRequest{Service: s.Service, Key: string(body), Body: body, DeadlineMs: s.DeadlineMs, FirstSend: true}
+	if again {
+		first := w
+		go func() {
+			a, err := r.client.Write(ctx, first)
+			if err == nil {
+				r.writes.note(body, a.Outcome)
+			}
+		}()
+		w.FirstSend = false
+	}
+	a, err := r.client.Write(ctx, w)
+	if err != nil {
+		return result{err: err}
+	}
+	if !again || a.Outcome != tier.NotRun {
+		r.writes.note(body, a.Outcome)
+	}
+	res := result{outcome: a.Outcome, reason: a.Reason, coverage: 1}
+	if a.Outcome != tier.NotRun && !a.Replayed {
+		res.needed = 1
+	}
+	return res
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -22,6 +22,7 @@
 	// rejoinLeast and rejoinMost bound the jittered wait before the next subscription.
 	rejoinLeast = 50 * time.Millisecond
 	rejoinMost  = 2 * time.Second
+	downQueue   = 16
 )
 
 // follow keeps a subscription to the control leader until ctx ends.
@@ -55,7 +56,7 @@
 		return
 	}
 	defer s.Cancel()
-	downs := make(chan hub.Down)
+	downs := make(chan hub.Down, downQueue)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -101,7 +102,9 @@
 			}
 			heard = n.Clock.Now()
 			n.leader.learn(p.Node)
-			n.take(d)
+			if !n.takeAll(d, downs) {
+				return
+			}
 		case <-beat.C:
 			if n.Clock.Now()-heard > beatSilence {
 				n.leader.failed(p.Node)
@@ -151,18 +154,16 @@
 	}
 }
 
-// firstUp makes the message that begins a subscription.
+// firstUp makes the message that begins a subscription. Its list of servers
+// is complete, and is made after the news were taken, which it holds too.
 func (n *Node) firstUp() hub.Up {
-	n.mu.Lock()
-	n.gone = nil
-	n.news = nil
-	servers := n.leases.All()
-	n.mu.Unlock()
 	up := n.up()
 	rec := n.record()
 	up.Node = &rec
 	up.Digests = n.fleet.Table().Digests()
-	up.Servers = servers
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	up.Servers = n.leases.All()
 	return up
 }
 
@@ -194,8 +195,30 @@
 	return n.acked
 }
 
-// take takes over a message of the leader.
-func (n *Node) take(d hub.Down) {
+// takeAll takes over a message of the leader and those queued behind it, and
+// works out once what follows from them; false means that the stream has ended.
+func (n *Node) takeAll(d hub.Down, downs <-chan hub.Down) bool {
+	open, changed := true, n.take(d)
+	for more := true; more && open; {
+		select {
+		case d, open = <-downs:
+			if open {
+				changed.Add(n.take(d))
+			}
+		default:
+			more = false
+		}
+	}
+	if changed.Any() {
+		n.tableChanged(changed)
+		n.poke()
+	}
+	n.noteReady()
+	return open
+}
+
+// take takes over one message and tells what changed in the membership.
+func (n *Node) take(d hub.Down) hub.Change {
 	if d.Config != nil && n.fleet.SetConfig(d.Config) {
 		event.ConfigInForce.Log(n.Log, nil, logrus.Fields{"version": d.Config.Version})
 		n.applyDrain()
@@ -204,27 +227,25 @@
 	if d.Poison != nil {
 		n.engine.SetSuspects(d.Poison.Suspects)
 	}
-	if n.fleet.Take(d) {
-		n.tableChanged()
-		n.poke()
-	}
-	n.noteReady()
+	return n.fleet.Take(d)
 }
 
-// tableChanged hands the new membership to those who go by it.
-func (n *Node) tableChanged() {
+// tableChanged hands a change of the membership to those who go by it. A
+// server instance that turns up after the node got ready is cold.
+func (n *Node) tableChanged(c hub.Change) {
 	t := n.fleet.Table()
-	n.mu.Lock()
-	first := n.seen == nil
-	seen := n.seen
-	n.seen = make(map[tier.ServerID]tier.Instance, len(t.Servers))
-	for id, s := range t.Servers {
-		n.seen[id] = s.Instance
+	fresh := map[tier.ServerID]bool{}
+	for id := range c.Servers {
+		s, live := t.Servers[id]
+		if live && n.isReady() && n.seen[id] != s.Instance {
+			fresh[id] = true
+		}
+		if live {
+			n.seen[id] = s.Instance
+		}
 	}
-	n.mu.Unlock()
-	cold := func(s tier.Announcement) bool { return !first && seen[s.Server] != s.Instance }
-	n.owner.Update(n.fleet.Owned(), cold)
-	n.engine.SetServers(t.Servers)
+	n.owner.Update(n.fleet.Owned(), func(s tier.Announcement) bool { return fresh[s.Server] })
+	n.engine.ServersChanged(c.Servers, t.Servers)
 }
 
 // serveWatch handles a node's subscription at a control host.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	Clock tier.Clock
 	// Stats takes latencies and counts.
 	Stats *stats.Registry
+	// Wrap, if not nil, is put around the socket towards other nodes.
+	Wrap func(net.PacketConn) net.PacketConn
 
 	instance tier.Instance
 	mesh     *conn.Mesh
@@ -68,7 +71,9 @@
 	gone    []hub.Gone
 	changed bool
 	acked   hub.Stamp
-	seen    map[tier.ServerID]tier.Instance
+
+	// seen is the last instance of every server; only the follower uses it.
+	seen map[tier.ServerID]tier.Instance
 }
 
 // Build makes the parts; it must be called once before Run.
@@ -78,6 +83,7 @@
 	n.ready = make(chan struct{})
 	n.drained = make(chan struct{})
 	n.leases.Start()
+	n.seen = map[tier.ServerID]tier.Instance{}
 	n.workers = &work.Pool{}
 	n.fleet = &fleet.Fleet{Self: n.Settings.Node, Zone: n.Settings.Zone, Clock: n.Clock}
 	n.fleet.Start()
@@ -94,6 +100,7 @@
 	n.mesh = &conn.Mesh{
 		Self:    n.Settings.Node,
 		Listen:  n.Settings.Peers,
+		Wrap:    n.Wrap,
 		Certs:   &conn.Certs{CA: t.CA, Cert: t.Cert, Key: t.Key},
 		Refused: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
 	}
@@ -240,16 +247,27 @@
 
 // noteReady marks the node ready once it can serve.
 func (n *Node) noteReady() {
-	if !n.fleet.Ready() {
+	if n.isReady() || !n.fleet.Ready() {
 		return
 	}
+	close(n.ready)
+	event.NodeReady.Log(n.Log, nil, nil)
+}
+
+func (n *Node) isReady() bool {
 	select {
 	case <-n.ready:
+		return true
 	default:
-		close(n.ready)
-		event.NodeReady.Log(n.Log, nil, nil)
+		return false
 	}
 }
 
 // Ready is closed once the node serves callers.
 func (n *Node) Ready() <-chan struct{} { return n.ready }
+
+// ConfigVersion returns the version of the configuration in force on this node.
+func (n *Node) ConfigVersion() tier.ConfigVersion { return n.fleet.Config().Version }
+
+// Servers returns the number of servers that the node knows.
+func (n *Node) Servers() int { return len(n.fleet.Table().Servers) }
--- a/internal/proc/ctrl/found.go
+++ b/internal/proc/ctrl/found.go
@@ -93,43 +93,13 @@
 		if !ok || p.Node == r.Node {
 			continue
 		}
-		if next, step := repairStep(m, g.Replica); step != "" {
+		if next, step := quorum.RepairStep(m, g.Replica); step != "" {
 			r.change(next, step, g.Replica)
 			return
 		}
 	}
 }
 
-// repairStep returns the next membership on the way to id as a voter in the
-// place of another incarnation of its node; step is "" where nothing is due.
-func repairStep(m quorum.Members, id tier.ReplicaID) (next quorum.Members, step string) {
-	if m.IsVoter(id) {
-		return m, ""
-	}
-	if m.IsLearner(id) {
-		next.Learners = without(m.Learners, id)
-		next.Voters = append(append([]tier.ReplicaID(nil), m.Voters...), id)
-		return next, "promote"
-	}
-	for _, old := range m.All() {
-		if old.Node() == id.Node() {
-			next.Voters, next.Learners = without(m.Voters, old), append(without(m.Learners, old), id)
-			return next, "replace"
-		}
-	}
-	return m, ""
-}
-
-func without(list []tier.ReplicaID, id tier.ReplicaID) []tier.ReplicaID {
-	var out []tier.ReplicaID
-	for _, r := range list {
-		if r != id {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 func (r *Replica) change(next quorum.Members, step string, id tier.ReplicaID) {
 	_, err := r.core.ChangeMembers(r.Clock.Now(), next)
 	if err != nil {
@@ -168,7 +138,7 @@
 		m := r.core.Membership()
 		for _, id := range m.All() {
 			if id.Node() == node {
-				next := quorum.Members{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
+				next := quorum.Members{Voters: quorum.Without(m.Voters, id), Learners: quorum.Without(m.Learners, id)}
 				_, err = r.core.ChangeMembers(r.Clock.Now(), next)
 				delete(r.greetings, node)
 				return
--- a/internal/proc/ctrl/watch.go
+++ b/internal/proc/ctrl/watch.go
@@ -17,6 +17,8 @@
 	// of changes travels as one message.
 	pushEvery = 100 * time.Millisecond
 	subQueue  = 64
+	// serversPerGap is the number of servers that adds one pushEvery to the gap between pushes.
+	serversPerGap = 1000
 )
 
 // firstLeaderTerm is the term of a founded cluster's first leader, before
@@ -116,6 +118,10 @@
 	}
 	now := r.Clock.Now()
 	r.hub.Receive(now, sub.Node, up)
+	if !up.Leaving && !r.hub.Member(sub.Node) {
+		r.drop(sub)
+		return
+	}
 	if len(up.Digests) > 0 {
 		sub.digests, sub.synced = up.Digests, false
 	}
@@ -129,13 +135,20 @@
 		return
 	}
 	r.hub.Tick(now)
+	gap := pushGap(len(r.hub.Table().Servers))
 	for s := range r.subs {
-		if now-s.pushed >= pushEvery {
+		if now-s.pushed >= gap || (s.config != r.store.Config().Version && now-s.pushed >= pushEvery) {
 			r.push(now, s, 0)
 		}
 	}
 }
 
+// pushGap is the least time between two pushes; it grows with the membership,
+// whose owners and catalog every node works out anew for each push.
+func pushGap(servers int) time.Duration {
+	return pushEvery * time.Duration(1+servers/serversPerGap)
+}
+
 func (r *Replica) openHub(now time.Duration) {
 	if !r.core.Serving() || r.opening {
 		return
--- a/internal/proc/fleet/fleet.go
+++ b/internal/proc/fleet/fleet.go
@@ -37,29 +37,47 @@
 	f.catalog.Store(vers.NewCatalog(nil, nil))
 }
 
-// Take takes over a message of the hub; changed is true when the membership differs.
-func (f *Fleet) Take(d hub.Down) (changed bool) {
+// Take takes over a message of the hub and tells what changed by it.
+func (f *Fleet) Take(d hub.Down) hub.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.view.Receive(d) {
-		return false
+	before := f.view.Table()
+	c := f.view.Receive(d)
+	if c.Nodes {
+		f.entries = 0
+		for _, n := range f.view.Table().Nodes {
+			if n.Entry && !n.Draining {
+				f.entries++
+			}
+		}
 	}
-	f.entries = 0
-	for _, n := range f.view.Table().Nodes {
-		if n.Entry && !n.Draining {
-			f.entries++
+	if len(c.Servers) > 0 {
+		f.catalog.Store(f.catalog.Load().With(f.view.Table().Servers, f.drained(), touched(c, before, f.view.Table())))
+	}
+	return c
+}
+
+// touched returns the services of the servers that changed, before and after.
+func touched(c hub.Change, before, after *hub.Table) map[tier.Service]bool {
+	out := map[tier.Service]bool{}
+	for id := range c.Servers {
+		for _, t := range []*hub.Table{before, after} {
+			if s, ok := t.Servers[id]; ok {
+				out[s.Service] = true
+			}
 		}
 	}
-	f.recatalog()
-	return true
+	return out
 }
 
-func (f *Fleet) recatalog() {
+// drained returns a function that tells which servers operators drain.
+func (f *Fleet) drained() func(tier.ServerID) bool {
 	c := f.config.Load()
-	drained := func(id tier.ServerID) bool {
-		return c != nil && c.Get(vers.KeyDrain, vers.Scope{Kind: vers.ScopeServer, Name: string(id)}) == 1
+	set := map[string]bool{}
+	if c != nil {
+		set = c.Drained(vers.ScopeServer)
 	}
-	f.catalog.Store(vers.NewCatalog(f.view.Table().Servers, drained))
+	return func(id tier.ServerID) bool { return set[string(id)] }
 }
 
 // SetConfig puts a configuration in force unless one as new is; it reports
@@ -71,7 +89,7 @@
 		return false
 	}
 	f.config.Store(c)
-	f.recatalog()
+	f.catalog.Store(vers.NewCatalog(f.view.Table().Servers, f.drained()))
 	return true
 }
 
@@ -107,13 +125,7 @@
 func (f *Fleet) Owned() map[tier.ServerID]tier.Announcement {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	owned := map[tier.ServerID]tier.Announcement{}
-	for id, s := range f.view.Table().Servers {
-		if f.view.Owner(id) == f.Self {
-			owned[id] = s
-		}
-	}
-	return owned
+	return f.view.Owned()
 }
 
 // OwnerOf returns the owner of a server; ok is false where there is none.
--- a/internal/proc/hub/hub.go
+++ b/internal/proc/hub/hub.go
@@ -51,6 +51,8 @@
 	start   time.Duration
 	open    bool
 	table   *Table
+	digests []uint64
+	settled Stamp
 	members map[tier.NodeID]*member
 	servers map[tier.ServerID]*homed
 	changes []change
@@ -61,6 +63,7 @@
 	h.start = now
 	h.table = NewTable()
 	h.table.Stamp = Stamp{Epoch: h.Epoch}
+	h.digests = make([]uint64, Buckets)
 	h.members = map[tier.NodeID]*member{}
 	h.servers = map[tier.ServerID]*homed{}
 }
@@ -83,6 +86,34 @@
 	}
 }
 
+// setNode replaces the record of a node, or removes it for nil.
+func (h *Hub) setNode(id tier.NodeID, n *Node) {
+	b := bucketOf(string(id))
+	if old, ok := h.table.Nodes[id]; ok {
+		h.digests[b] ^= digest(old)
+		delete(h.table.Nodes, id)
+	}
+	if n != nil {
+		h.digests[b] ^= digest(*n)
+		h.table.Nodes[id] = *n
+	}
+	h.bump(change{node: id})
+}
+
+// setServer replaces the record of a server, or removes it for nil.
+func (h *Hub) setServer(id tier.ServerID, s *Server) {
+	b := bucketOf(string(id))
+	if old, ok := h.table.Servers[id]; ok {
+		h.digests[b] ^= digest(old)
+		delete(h.table.Servers, id)
+	}
+	if s != nil {
+		h.digests[b] ^= digest(*s)
+		h.table.Servers[id] = *s
+	}
+	h.bump(change{server: id})
+}
+
 // Receive handles a message from a node and renews its lease.
 func (h *Hub) Receive(now time.Duration, from tier.NodeID, up Up) {
 	if up.Leaving {
@@ -97,26 +128,57 @@
 		return
 	}
 	m.heard, m.have, m.config = now, up.Have, up.Config
+	if len(up.Digests) > 0 {
+		h.reconcile(from, up.Servers)
+	}
 	for _, s := range up.Servers {
-		h.report(now, from, s)
+		h.report(from, s)
 	}
 	for _, g := range up.Gone {
-		h.gone(now, from, g)
+		h.gone(from, g)
+	}
+}
+
+// Member reports whether a node is a live member. One that is not must
+// subscribe anew: its lease ran out here, whatever it thinks itself.
+func (h *Hub) Member(id tier.NodeID) bool { return h.members[id] != nil }
+
+// reconcile ends the announcements at a node that its complete list lacks;
+// word of their end may have been lost with a former subscription.
+func (h *Hub) reconcile(from tier.NodeID, list []Server) {
+	has := make(map[tier.ServerID]bool, len(list))
+	for _, s := range list {
+		has[s.Server] = true
+	}
+	for _, id := range h.homedAt(from) {
+		if !has[id] {
+			h.gone(from, Gone{Server: id, Instance: h.servers[id].server.Instance})
+		}
 	}
 }
 
+func (h *Hub) homedAt(n tier.NodeID) []tier.ServerID {
+	var ids []tier.ServerID
+	for id, e := range h.servers {
+		if e.homes[n] {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
 func (h *Hub) join(m *member, n Node) *member {
 	if m == nil {
 		m = &member{}
 		h.members[n.ID] = m
 	}
 	m.node = n
-	h.table.Nodes[n.ID] = n
-	h.bump(change{node: n.ID})
+	h.setNode(n.ID, &n)
 	return m
 }
 
-func (h *Hub) report(now time.Duration, from tier.NodeID, s Server) {
+func (h *Hub) report(from tier.NodeID, s Server) {
 	e := h.servers[s.Server]
 	if e == nil {
 		e = &homed{homes: map[tier.NodeID]bool{}}
@@ -130,11 +192,10 @@
 		return
 	}
 	e.server = s
-	h.table.Servers[s.Server] = s
-	h.bump(change{server: s.Server})
+	h.setServer(s.Server, &s)
 }
 
-func (h *Hub) gone(now time.Duration, from tier.NodeID, g Gone) {
+func (h *Hub) gone(from tier.NodeID, g Gone) {
 	e := h.servers[g.Server]
 	if e == nil || e.server.Instance != g.Instance || !e.homes[from] {
 		return
@@ -147,8 +208,7 @@
 
 func (h *Hub) removeServer(id tier.ServerID) {
 	delete(h.servers, id)
-	delete(h.table.Servers, id)
-	h.bump(change{server: id})
+	h.setServer(id, nil)
 }
 
 // removeNode ends a node's lease. Servers that announced themselves there
@@ -158,12 +218,9 @@
 		return
 	}
 	delete(h.members, id)
-	delete(h.table.Nodes, id)
-	h.bump(change{node: id})
-	for _, e := range h.servers {
-		if !e.homes[id] {
-			continue
-		}
+	h.setNode(id, nil)
+	for _, sid := range h.homedAt(id) {
+		e := h.servers[sid]
 		delete(e.homes, id)
 		if len(e.homes) == 0 {
 			e.orphan = now + e.server.LeaseMs.Duration() + DriftMargin
@@ -182,6 +239,7 @@
 	for _, id := range h.orphaned(now) {
 		h.removeServer(id)
 	}
+	h.settled = h.settle()
 }
 
 func (h *Hub) expired(now time.Duration) []tier.NodeID {
@@ -206,13 +264,15 @@
 	return ids
 }
 
-// Settled returns the newest state that every live node has taken over. What
-// a node no longer owned in that state, it no longer sends to.
-func (h *Hub) Settled() Stamp {
+// Settled returns, as of the last Tick, the newest state that every live node
+// has taken over. What a node no longer owned in it, it no longer sends to.
+func (h *Hub) Settled() Stamp { return h.settled }
+
+func (h *Hub) settle() Stamp {
+	s := h.table.Stamp
 	if h.Unsafe {
-		return h.table.Stamp
+		return s
 	}
-	s := h.table.Stamp
 	for _, m := range h.members {
 		if m.have.Less(s) {
 			s = m.have
@@ -239,9 +299,8 @@
 // Resync answers a node's first message: the buckets in which its copy differs.
 func (h *Hub) Resync(digests []uint64) Down {
 	d := h.head()
-	mine := h.table.Digests()
 	want := map[int]bool{}
-	for i, v := range mine {
+	for i, v := range h.digests {
 		if i >= len(digests) || digests[i] != v {
 			want[i] = true
 			d.Whole = append(d.Whole, i)
--- a/internal/proc/hub/table.go
+++ b/internal/proc/hub/table.go
@@ -4,6 +4,7 @@
 package hub
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,18 +61,7 @@
 }
 
 func (t *Table) clone() *Table {
-	c := &Table{
-		Stamp:   t.Stamp,
-		Nodes:   make(map[tier.NodeID]Node, len(t.Nodes)),
-		Servers: make(map[tier.ServerID]Server, len(t.Servers)),
-	}
-	for id, n := range t.Nodes {
-		c.Nodes[id] = n
-	}
-	for id, s := range t.Servers {
-		c.Servers[id] = s
-	}
-	return c
+	return &Table{Stamp: t.Stamp, Nodes: maps.Clone(t.Nodes), Servers: maps.Clone(t.Servers)}
 }
 
 func bucketOf(id string) int { return int(xxhash.Sum64String(id) % Buckets) }
@@ -147,41 +137,49 @@
 	return byZone, all
 }
 
+// weighed is a node with the hash of its id and the number of servers that it owns.
+type weighed struct {
+	id    tier.NodeID
+	hash  uint64
+	count int
+}
+
 func assign(owners map[tier.ServerID]tier.NodeID, ids []tier.ServerID, nodes []tier.NodeID) {
 	if len(nodes) == 0 {
 		return
 	}
 	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i] < nodes[j] })
 	limit := (len(ids)*loadPercent + 100*len(nodes) - 1) / (100 * len(nodes))
-	count := make(map[tier.NodeID]int, len(nodes))
+	list := make([]weighed, len(nodes))
+	for i, n := range nodes {
+		list[i] = weighed{id: n, hash: xxhash.Sum64String(string(n))}
+	}
 	for _, id := range ids {
-		best := highest(id, nodes, count, limit)
-		owners[id] = best
-		count[best]++
+		best := highest(xxhash.Sum64String(string(id)), list, limit)
+		owners[id] = list[best].id
+		list[best].count++
 	}
 }
 
-// highest returns the node with the highest rendezvous weight for id that has room.
-func highest(id tier.ServerID, nodes []tier.NodeID, count map[tier.NodeID]int, limit int) tier.NodeID {
-	var best tier.NodeID
-	var bestWeight uint64
-	for _, n := range nodes {
-		if count[n] >= limit {
+// highest returns the index of the node with the highest rendezvous weight
+// for a server's hash that has room; equal weights go to the first by id.
+func highest(server uint64, list []weighed, limit int) int {
+	best, bestWeight := -1, uint64(0)
+	for i := range list {
+		if list[i].count >= limit {
 			continue
 		}
-		w := weight(id, n)
-		if best == "" || w > bestWeight || (w == bestWeight && n < best) {
-			best, bestWeight = n, w
+		if w := mix(server ^ list[i].hash); best < 0 || w > bestWeight {
+			best, bestWeight = i, w
 		}
 	}
 	return best
 }
 
-func weight(s tier.ServerID, n tier.NodeID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(s))
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(string(n))
-	return d.Sum64()
+// mix spreads the bits of x (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
 }
--- a/internal/proc/hub/view.go
+++ b/internal/proc/hub/view.go
@@ -14,6 +14,7 @@
 
 	table   *Table
 	owners  map[tier.ServerID]tier.NodeID
+	zoned   map[tier.ServerID]tier.Zone
 	since   map[tier.ServerID]Stamp
 	settled Stamp
 	known   bool
@@ -28,6 +29,7 @@
 func (v *View) Start() {
 	v.table = NewTable()
 	v.owners = map[tier.ServerID]tier.NodeID{}
+	v.zoned = map[tier.ServerID]tier.Zone{}
 	v.since = map[tier.ServerID]Stamp{}
 	v.beats = map[uint64]time.Duration{}
 }
@@ -55,20 +57,42 @@
 // Renewed returns the time at which the last answered heartbeat was sent.
 func (v *View) Renewed() time.Duration { return v.renewed }
 
-// Receive takes over a message of the hub; changed is true when the table differs.
-func (v *View) Receive(d Down) (changed bool) {
-	if d.Stamp.Less(v.table.Stamp) {
-		return false
+// Change tells what a message changed: whether nodes did, and which servers.
+type Change struct {
+	Nodes   bool
+	Servers map[tier.ServerID]bool
+}
+
+// Any reports whether anything changed.
+func (c Change) Any() bool { return c.Nodes || len(c.Servers) > 0 }
+
+// Add joins another change to c.
+func (c *Change) Add(o Change) {
+	c.Nodes = c.Nodes || o.Nodes
+	if c.Servers == nil {
+		c.Servers = o.Servers
+		return
+	}
+	for id := range o.Servers {
+		c.Servers[id] = true
 	}
+}
+
+// Receive takes over a message of the hub and tells what changed by it.
+func (v *View) Receive(d Down) Change {
 	v.acknowledge(d.Beat)
-	changed = d.Stamp != v.table.Stamp || len(d.Whole) > 0
-	if changed {
-		v.take(d)
+	if d.Stamp.Less(v.table.Stamp) || d.Stamp == (Stamp{}) {
+		return Change{}
+	}
+	var c Change
+	if d.Stamp != v.table.Stamp || len(d.Whole) > 0 {
+		c = v.take(d)
 	}
 	if v.settled.Less(d.Settled) {
 		v.settled = d.Settled
 	}
-	return changed
+	v.known = true
+	return c
 }
 
 func (v *View) acknowledge(beat uint64) {
@@ -86,28 +110,35 @@
 	}
 }
 
-func (v *View) take(d Down) {
+func (v *View) take(d Down) Change {
+	c := Change{Servers: map[tier.ServerID]bool{}}
 	t := v.table.clone()
 	t.Stamp = d.Stamp
-	dropBuckets(t, d.Whole)
+	dropBuckets(t, d.Whole, &c)
 	for _, n := range d.Nodes {
+		c.Nodes = true
 		t.Nodes[n.ID] = n
 	}
 	for _, s := range d.Servers {
+		c.Servers[s.Server] = true
 		t.Servers[s.Server] = s
 	}
 	for _, id := range d.GoneNodes {
+		c.Nodes = true
 		delete(t.Nodes, id)
 	}
 	for _, id := range d.GoneServers {
+		c.Servers[id] = true
 		delete(t.Servers, id)
 	}
 	v.table = t
-	v.known = true
-	v.reown()
+	if v.moved(c) {
+		v.reown()
+	}
+	return c
 }
 
-func dropBuckets(t *Table, whole []int) {
+func dropBuckets(t *Table, whole []int, c *Change) {
 	if len(whole) == 0 {
 		return
 	}
@@ -119,20 +150,40 @@
 	}
 	for id := range t.Nodes {
 		if drop[bucketOf(string(id))] {
+			c.Nodes = true
 			delete(t.Nodes, id)
 		}
 	}
 	for id := range t.Servers {
 		if drop[bucketOf(string(id))] {
+			c.Servers[id] = true
 			delete(t.Servers, id)
 		}
 	}
 }
 
+// moved reports whether a change can have moved ownership: nodes changed, or
+// a server came, went or changed its zone.
+func (v *View) moved(c Change) bool {
+	if c.Nodes {
+		return true
+	}
+	for id := range c.Servers {
+		zone, was := v.zoned[id]
+		s, is := v.table.Servers[id]
+		if was != is || zone != s.Zone {
+			return true
+		}
+	}
+	return false
+}
+
 // reown computes the owners anew and notes since when this node owns what it owns.
 func (v *View) reown() {
 	owners := v.table.Owners()
+	v.zoned = make(map[tier.ServerID]tier.Zone, len(owners))
 	for id, n := range owners {
+		v.zoned[id] = v.table.Servers[id].Zone
 		if n == v.Self && v.owners[id] != v.Self {
 			v.since[id] = v.table.Stamp
 		}
@@ -145,6 +196,15 @@
 	v.owners = owners
 }
 
+// Owned returns the servers that this node owns.
+func (v *View) Owned() map[tier.ServerID]Server {
+	owned := make(map[tier.ServerID]Server, len(v.since))
+	for id := range v.since {
+		owned[id] = v.table.Servers[id]
+	}
+	return owned
+}
+
 // MaySend reports whether this node owns s and every live node knows that it does.
 func (v *View) MaySend(s tier.ServerID) bool {
 	since, ok := v.since[s]
--- a/internal/proc/score/score.go
+++ b/internal/proc/score/score.go
@@ -60,18 +60,15 @@
 	b.turn = map[tier.Service]int{}
 }
 
-// Keep forgets servers that are gone and instances that were replaced.
-func (b *Board) Keep(live map[tier.ServerID]tier.Announcement) {
-	for id, s := range b.servers {
-		a, ok := live[id]
-		if !ok || a.Instance != s.instance {
-			delete(b.servers, id)
-		}
+// Keep takes note of a server's present instance; what was observed of a
+// former instance, or of a server that is gone, is forgotten.
+func (b *Board) Keep(id tier.ServerID, i tier.Instance, live bool) {
+	if !live {
+		delete(b.servers, id)
+		return
 	}
-	for id, a := range live {
-		if b.servers[id] == nil {
-			b.servers[id] = &server{instance: a.Instance}
-		}
+	if s := b.servers[id]; s == nil || s.instance != i {
+		b.servers[id] = &server{instance: i}
 	}
 }
 
--- a/internal/reqst/engine.go
+++ b/internal/reqst/engine.go
@@ -98,11 +98,14 @@
 	e.suspects = m
 }
 
-// SetServers tells the board which servers are live.
-func (e *Engine) SetServers(live map[tier.ServerID]tier.Announcement) {
+// ServersChanged tells the board which servers came, changed or went.
+func (e *Engine) ServersChanged(changed map[tier.ServerID]bool, live map[tier.ServerID]tier.Announcement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.Board.Keep(live)
+	for id := range changed {
+		a, ok := live[id]
+		e.Board.Keep(id, a.Instance, ok)
+	}
 }
 
 func (e *Engine) suspect(f tier.Fingerprint) (store.Suspect, bool) {
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -25,6 +25,7 @@
 	Spec Spec
 
 	servers []*server
+	ledger  *ledger
 	client  http.Client
 	kick    map[tier.ServerID]chan struct{}
 }
@@ -64,7 +65,7 @@
 }
 
 func (s *Stand) build() {
-	led := &ledger{runs: map[uint64]int{}}
+	s.ledger = &ledger{runs: map[uint64]int{}}
 	s.kick = map[tier.ServerID]chan struct{}{}
 	port := s.Spec.BasePort
 	for _, sv := range s.Spec.Services {
@@ -72,7 +73,7 @@
 			for r := range sv.Replicas {
 				id := tier.ServerID(fmt.Sprintf("%s-%d-%d", sv.Name, g, r))
 				v := &server{
-					id: id, service: sv, zone: sv.Zones[(g+r)%len(sv.Zones)], group: g, ledger: led,
+					id: id, service: sv, zone: sv.Zones[(g+r)%len(sv.Zones)], group: g, ledger: s.ledger,
 					address: s.Spec.Host + ":" + strconv.Itoa(port), rand: rand.New(rand.NewPCG(s.Spec.Seed, uint64(port))),
 				}
 				v.newVersion(Fault{Version: 1})
@@ -127,6 +128,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fault", s.postFault)
 	mux.HandleFunc("GET /counters", s.getCounters)
+	mux.HandleFunc("GET /runs", s.getRuns)
 	return mux
 }
 
@@ -170,3 +172,11 @@
 	}
 	_ = json.NewEncoder(w).Encode(rep)
 }
+
+// getRuns answers how often each write ran, by the hash of its content.
+func (s *Stand) getRuns(w http.ResponseWriter, _ *http.Request) {
+	l := s.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(l.runs)
+}
--- a/internal/vers/config.go
+++ b/internal/vers/config.go
@@ -58,6 +58,17 @@
 	return spec.Default
 }
 
+// Drained returns the names that exceptions of a kind of scope drain.
+func (c *Config) Drained(kind ScopeKind) map[string]bool {
+	set := map[string]bool{}
+	for i := range c.Exceptions {
+		if e := &c.Exceptions[i]; e.Key == KeyDrain && e.Scope.Kind == kind && e.Value == 1 {
+			set[e.Scope.Name] = true
+		}
+	}
+	return set
+}
+
 // Edit is one step of a change; exactly one field is set.
 type Edit struct {
 	Set    *Default   `json:"set,omitempty" cbor:"1,keyasint,omitempty"`
--- a/internal/vers/layout.go
+++ b/internal/vers/layout.go
@@ -28,13 +28,46 @@
 
 // NewCatalog makes a catalog from the servers that are not draining.
 func NewCatalog(servers map[tier.ServerID]tier.Announcement, drained func(tier.ServerID) bool) *Catalog {
-	c := &Catalog{layouts: map[tier.Service][]*Layout{}, plain: map[tier.Service][]tier.Candidate{}}
+	touched := map[tier.Service]bool{}
+	for _, s := range servers {
+		touched[s.Service] = true
+	}
+	return (&Catalog{}).With(servers, drained, touched)
+}
+
+// With returns a catalog in which the touched services are made anew and the
+// others are those of c.
+func (c *Catalog) With(servers map[tier.ServerID]tier.Announcement, drained func(tier.ServerID) bool, touched map[tier.Service]bool) *Catalog {
+	next := &Catalog{layouts: map[tier.Service][]*Layout{}, plain: map[tier.Service][]tier.Candidate{}}
+	for s, l := range c.layouts {
+		if !touched[s] {
+			next.layouts[s] = l
+		}
+	}
+	for s, l := range c.plain {
+		if !touched[s] {
+			next.plain[s] = l
+		}
+	}
+	var ids []tier.ServerID
+	for id, s := range servers {
+		if touched[s.Service] && !s.Draining && !drained(id) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	next.fill(servers, ids)
+	for s := range touched {
+		ls := next.layouts[s]
+		sort.Slice(ls, func(i, j int) bool { return ls[j].Snapshot.Less(ls[i].Snapshot) })
+	}
+	return next
+}
+
+func (c *Catalog) fill(servers map[tier.ServerID]tier.Announcement, ids []tier.ServerID) {
 	at := map[tier.Service]map[tier.Snapshot]*Layout{}
-	for _, id := range sortedIDs(servers) {
+	for _, id := range ids {
 		s := servers[id]
-		if s.Draining || drained(id) {
-			continue
-		}
 		cand := tier.Candidate{Server: id, Zone: s.Zone}
 		if len(s.Holdings) == 0 {
 			c.plain[s.Service] = append(c.plain[s.Service], cand)
@@ -44,19 +77,6 @@
 			c.layout(at, s.Service, h.Snapshot).add(h.Shard, cand)
 		}
 	}
-	for _, ls := range c.layouts {
-		sort.Slice(ls, func(i, j int) bool { return ls[j].Snapshot.Less(ls[i].Snapshot) })
-	}
-	return c
-}
-
-func sortedIDs(servers map[tier.ServerID]tier.Announcement) []tier.ServerID {
-	ids := make([]tier.ServerID, 0, len(servers))
-	for id := range servers {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
 }
 
 func (c *Catalog) layout(at map[tier.Service]map[tier.Snapshot]*Layout, s tier.Service, snap tier.Snapshot) *Layout {
