--- a/internal/cmdln/man.go
+++ b/internal/cmdln/man.go
@@ -1,7 +1,6 @@
 package cmdln
 
 import (
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"github.com/spf13/cobra/doc"
 )
@@ -16,10 +15,3 @@
 		},
 	}
 }
-
-func replayCommand(o *options) *cobra.Command {
-	return &cobra.Command{
-		Use: "replay FILE...", Short: "Replay recorded traces against their stated outcomes", Args: cobra.MinimumNArgs(1),
-		RunE: func(*cobra.Command, []string) error { return errors.New("no traces yet") },
-	}
-}
--- a/internal/conn/slots.go
+++ b/internal/conn/slots.go
@@ -36,6 +36,8 @@
 	Limit int
 	// MaxQueue is the most tickets that wait.
 	MaxQueue int
+	// Unsafe queues whatever comes, for traces that show what refusal prevents.
+	Unsafe bool
 
 	running int
 	solo    bool
@@ -76,7 +78,8 @@
 		s.start(now, t)
 		return true, tier.ReasonNone
 	}
-	if len(s.queue) >= s.MaxQueue || now+s.waitFor(t)+s.mean > t.Deadline {
+	hopeless := len(s.queue) >= s.MaxQueue || now+s.waitFor(t)+s.mean > t.Deadline
+	if hopeless && !s.Unsafe {
 		return false, tier.ReasonOverload
 	}
 	s.seq++
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -85,7 +85,7 @@
 	if q.DeadlineMs < 0 {
 		return bad("deadline_ms: must not be negative")
 	}
-	if l := n.fleet.Catalog().Pin(q.Service); l != nil && len(l.Shards) > n.Settings.Limits.FanOut {
+	if l := n.fleet.Pin(q.Service); l != nil && len(l.Shards) > n.Settings.Limits.FanOut {
 		return bad("service: the query would go to more shards than limits.fan_out allows")
 	}
 	return nil
--- a/internal/proc/fleet/fleet.go
+++ b/internal/proc/fleet/fleet.go
@@ -13,6 +13,18 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
+// Unsafe lists mechanisms of a fleet that a trace may switch off.
+type Unsafe struct {
+	// AnyVersion puts older configurations in force too.
+	AnyVersion bool
+	// NoLease serves without a lease.
+	NoLease bool
+	// KeepDraining lists draining nodes and servers.
+	KeepDraining bool
+	// PinNewest pins the newest snapshot, whole or not.
+	PinNewest bool
+}
+
 // Fleet is safe for concurrent use. Lock order: mu is held for no call out.
 type Fleet struct {
 	// Self is the node.
@@ -21,6 +33,8 @@
 	Zone tier.Zone
 	// Clock gives the time.
 	Clock tier.Clock
+	// Unsafe switches mechanisms off, for traces that show what they prevent.
+	Unsafe Unsafe
 
 	mu      sync.RWMutex
 	view    hub.View
@@ -70,14 +84,13 @@
 	return out
 }
 
-// drained returns a function that tells which servers operators drain.
+// drained returns a function that tells which servers drain, by their own
+// announcement or by an operator's exception.
 func (f *Fleet) drained() func(tier.ServerID) bool {
-	c := f.config.Load()
-	set := map[string]bool{}
-	if c != nil {
-		set = c.Drained(vers.ScopeServer)
-	}
-	return func(id tier.ServerID) bool { return set[string(id)] }
+	servers := f.view.Table().Servers
+	set := f.Config().Drained(vers.ScopeServer)
+	keep := f.Unsafe.KeepDraining
+	return func(id tier.ServerID) bool { return !keep && (servers[id].Draining || set[string(id)]) }
 }
 
 // SetConfig puts a configuration in force unless one as new is; it reports
@@ -85,7 +98,8 @@
 func (f *Fleet) SetConfig(c *vers.Config) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if old := f.config.Load(); c == nil || (old != nil && c.Version <= old.Version) {
+	old := f.config.Load()
+	if c == nil || (old != nil && c.Version <= old.Version && !f.Unsafe.AnyVersion) {
 		return false
 	}
 	f.config.Store(c)
@@ -111,6 +125,14 @@
 	return f.view.Known()
 }
 
+// Pin returns the snapshot that a new query of a service should use, or nil.
+func (f *Fleet) Pin(s tier.Service) *vers.Layout {
+	if f.Unsafe.PinNewest {
+		return f.Catalog().Newest(s)
+	}
+	return f.Catalog().Pin(s)
+}
+
 // Catalog returns the services and snapshots of the present membership.
 func (f *Fleet) Catalog() *vers.Catalog { return f.catalog.Load() }
 
@@ -180,7 +202,7 @@
 	switch {
 	case !f.Ready():
 		return tier.ReasonNoControl
-	case !f.Leased() && !f.quorate.Load():
+	case !f.Leased() && !f.quorate.Load() && !f.Unsafe.NoLease:
 		return tier.ReasonIsolated
 	}
 	return tier.ReasonNone
@@ -204,7 +226,7 @@
 	var near, far []string
 	for _, m := range f.Table().Nodes {
 		switch {
-		case !m.Entry || m.Draining:
+		case !m.Entry || (m.Draining && !f.Unsafe.KeepDraining):
 		case m.Zone == f.Zone:
 			near = append(near, m.Address)
 		default:
--- a/internal/proc/store/claim.go
+++ b/internal/proc/store/claim.go
@@ -76,15 +76,13 @@
 
 // record stores the outcome of the attempt that holds the key. Done is final;
 // NotRun is final for its attempt; Unknown may still become Done.
-func (t *claimTable) record(r Record, nowMs int64) {
+func (t *claimTable) record(r Record, nowMs int64, loose bool) {
 	e := t.byKey[r.Key]
 	if e == nil || e.Claim.ID != r.ID {
 		return
 	}
-	if e.Record != nil && e.Record.Outcome != tier.Unknown {
-		return
-	}
-	if e.Record != nil && r.Outcome != tier.Done {
+	final := e.Record != nil && (e.Record.Outcome != tier.Unknown || r.Outcome != tier.Done)
+	if final && !loose {
 		return
 	}
 	e.Record = &r
@@ -93,13 +91,13 @@
 
 // sweep turns old claims into marks and drops old marks. A key that did not
 // run leaves no mark.
-func (t *claimTable) sweep(nowMs int64, c *vers.Config) {
+func (t *claimTable) sweep(nowMs int64, c *vers.Config, noMarks bool) {
 	keep, markFor := c.Get(vers.KeyWriteKeep), c.Get(vers.KeyWriteMark)
 	for k, e := range t.byKey {
 		if nowMs-e.AtMs < keep {
 			continue
 		}
-		if e.Record == nil || e.Record.Outcome != tier.NotRun {
+		if !noMarks && (e.Record == nil || e.Record.Outcome != tier.NotRun) {
 			t.marks[markOf(k)] = nowMs
 		}
 		delete(t.byKey, k)
--- a/internal/proc/store/store.go
+++ b/internal/proc/store/store.go
@@ -30,8 +30,27 @@
 	Result ChangeResult  `cbor:"2,keyasint"`
 }
 
+// Unsafe lists mechanisms of a store that a trace may switch off.
+type Unsafe struct {
+	// AnyBase accepts changes whatever version they are based on.
+	AnyBase bool
+	// ForgetChanges forgets the ids of changes.
+	ForgetChanges bool
+	// ForgetClaims grants every claim.
+	ForgetClaims bool
+	// LooseRecords lets any outcome replace any other.
+	LooseRecords bool
+	// NoBlame takes no note of deaths.
+	NoBlame bool
+	// NoMarks forgets a key with its record.
+	NoMarks bool
+}
+
 // Store is the state. It is not safe for concurrent use.
 type Store struct {
+	// Unsafe switches mechanisms off, for traces that show what they prevent.
+	Unsafe Unsafe
+
 	config  *vers.Config
 	history []Past
 	changes []changed
@@ -63,11 +82,14 @@
 		r := s.change(*c.Change, c.NowMs)
 		return Result{Change: &r}
 	case c.Claim != nil:
+		if s.Unsafe.ForgetClaims {
+			return Result{Claim: &ClaimResult{Status: ClaimGranted}}
+		}
 		r := s.claims.claim(*c.Claim, c.NowMs)
 		return Result{Claim: &r}
 	case c.Record != nil:
-		s.claims.record(*c.Record, c.NowMs)
-	case c.Blame != nil:
+		s.claims.record(*c.Record, c.NowMs, s.Unsafe.LooseRecords)
+	case c.Blame != nil && !s.Unsafe.NoBlame:
 		s.poison.blame(*c.Blame, s.config, c.NowMs)
 	case c.Clear != nil:
 		s.poison.clear(c.Clear.Fingerprint)
@@ -78,7 +100,7 @@
 }
 
 func (s *Store) change(ch vers.Change, nowMs int64) ChangeResult {
-	if i, ok := s.byID[ch.ID]; ok {
+	if i, ok := s.byID[ch.ID]; ok && !s.Unsafe.ForgetChanges {
 		return s.changes[i].Result
 	}
 	r := s.decide(ch, nowMs)
@@ -87,7 +109,7 @@
 }
 
 func (s *Store) decide(ch vers.Change, nowMs int64) ChangeResult {
-	if ch.Base != s.config.Version {
+	if ch.Base != s.config.Version && !s.Unsafe.AnyBase {
 		return ChangeResult{Status: ChangeRaced, Version: s.config.Version, Error: tier.ErrVersionRace.Error()}
 	}
 	stamp(&ch, nowMs)
@@ -140,7 +162,7 @@
 
 // sweep drops expired exceptions, claims and suspicions.
 func (s *Store) sweep(nowMs int64) {
-	s.claims.sweep(nowMs, s.config)
+	s.claims.sweep(nowMs, s.config, s.Unsafe.NoMarks)
 	s.poison.sweep(nowMs)
 	if !s.ExceptionDue(nowMs) {
 		return
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -42,7 +42,7 @@
 		event.RequestPoisonous.Log(e.Log, nil, logrus.Fields{"account": a, "service": q.Service, "fingerprint": print})
 		return notRun(tier.ReasonQuarantine, hold)
 	}
-	if e.Fleet.Catalog().Pin(q.Service) == nil {
+	if e.Fleet.Pin(q.Service) == nil {
 		return notRun(tier.ReasonNoServer, leastRetryAfter)
 	}
 	rank, _ := q.Class.Rank()
@@ -91,7 +91,7 @@
 // query, the whole query starts again on the present one.
 func (g *gather) run(ctx context.Context) tier.QueryAnswer {
 	for try := 0; ; try++ {
-		l := g.engine.Fleet.Catalog().Pin(g.query.Service)
+		l := g.engine.Fleet.Pin(g.query.Service)
 		if l == nil {
 			return notRun(tier.ReasonNoServer, leastRetryAfter)
 		}
@@ -107,7 +107,7 @@
 
 // moved reports whether the present snapshot is another one and time is left.
 func (g *gather) moved(l *vers.Layout) bool {
-	now := g.engine.Fleet.Catalog().Pin(g.query.Service)
+	now := g.engine.Fleet.Pin(g.query.Service)
 	return now != nil && now != l && g.engine.Clock.Now() < g.deadline
 }
 
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -76,6 +76,16 @@
 	data    json.RawMessage
 }
 
+// Unsafe lists mechanisms of a plan that a trace may switch off.
+type Unsafe struct {
+	// AnySnapshot merges answers of any snapshot.
+	AnySnapshot bool
+	// AnyReply takes replies without regard to their attempt.
+	AnyReply bool
+	// RetryDeaths retries at once after a server's death.
+	RetryDeaths bool
+}
+
 // Plan decides the sub-queries of one query against one snapshot: events and
 // the time go in, actions come out.
 type Plan struct {
@@ -87,6 +97,8 @@
 	Select func(now time.Duration, shard tier.Shard, list []tier.Candidate) int
 	// Hedge and Retry spend one extra sub-query of the service's budgets.
 	Hedge, Retry func() bool
+	// Unsafe switches mechanisms off, for traces that show what they prevent.
+	Unsafe Unsafe
 
 	parts    []part
 	attempts []attempt
@@ -195,14 +207,15 @@
 		return nil
 	}
 	a := &p.attempts[r.Attempt]
-	if !a.open || tier.Shard(a.shard) != r.Shard || a.server != r.Server {
+	fits := a.open && tier.Shard(a.shard) == r.Shard && a.server == r.Server
+	if !fits && !p.Unsafe.AnyReply {
 		return nil
 	}
 	a.open = false
 	p.parts[a.shard].open--
 	p.ran = p.ran || r.Fate != conn.FateNotRun
 	p.queued = max(p.queued, time.Duration(r.QueuedUs)*time.Microsecond)
-	if r.Fate == conn.FateDone && r.Snapshot == p.Layout.Snapshot {
+	if r.Fate == conn.FateDone && (r.Snapshot == p.Layout.Snapshot || p.Unsafe.AnySnapshot) {
 		p.won(now, r)
 	} else {
 		p.lost(now, a.shard, r)
@@ -248,7 +261,7 @@
 	if r.Reason == tier.ReasonOverload || r.Reason == tier.ReasonShed {
 		p.overload = true
 	}
-	if r.Died {
+	if r.Died && !p.Unsafe.RetryDeaths {
 		p.died(now, shard)
 		return
 	}
--- /dev/null
+++ b/internal/trace/fleet.go
@@ -0,0 +1,104 @@
+package trace
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"sassafrasring.dev/sassafrasring/internal/proc/fleet"
+	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// fleetMachine replays what one node makes of membership and configuration.
+type fleetMachine struct {
+	fleet *fleet.Fleet
+	now   time.Duration
+	seq   hub.Seq
+}
+
+// Now is the time of the step.
+func (m *fleetMachine) Now() time.Duration { return m.now }
+
+type fleetEvent struct {
+	// Nodes and Servers are new records of the membership; with Beat they
+	// answer a heartbeat sent now.
+	Nodes   []hub.Node   `json:"nodes"`
+	Servers []hub.Server `json:"servers"`
+	Beat    bool         `json:"beat"`
+	// Config offers a configuration of that version.
+	Config tier.ConfigVersion `json:"config"`
+	// Quorate says what the node's peers made known.
+	Quorate *bool `json:"quorate"`
+}
+
+type fleetObserved struct {
+	Version   tier.ConfigVersion `json:"version"`
+	Refusing  tier.Reason        `json:"refusing"`
+	Addresses []string           `json:"addresses"`
+	Snapshot  tier.Snapshot      `json:"snapshot"`
+	Complete  bool               `json:"complete"`
+	Servers   []tier.ServerID    `json:"candidates"`
+}
+
+func newFleetMachine(_ json.RawMessage, without string) (machine, error) {
+	m := &fleetMachine{}
+	m.fleet = &fleet.Fleet{Self: "n1", Zone: "a", Clock: m}
+	u := &m.fleet.Unsafe
+	switch without {
+	case "":
+	case "forward_only":
+		u.AnyVersion = true
+	case "lease":
+		u.NoLease = true
+	case "draining":
+		u.KeepDraining = true
+	case "complete_pin":
+		u.PinNewest = true
+	default:
+		return nil, unknown(without)
+	}
+	m.fleet.Start()
+	return m, nil
+}
+
+func (m *fleetMachine) do(at tier.Millis, raw json.RawMessage) (any, error) {
+	var e fleetEvent
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return nil, err
+	}
+	m.now = at.Duration()
+	d := hub.Down{Nodes: e.Nodes, Servers: e.Servers}
+	if e.Beat {
+		d.Beat = m.fleet.NextBeat()
+	}
+	if e.Beat || len(e.Nodes)+len(e.Servers) > 0 {
+		m.seq++
+		d.Stamp = hub.Stamp{Epoch: 1, Seq: m.seq}
+		m.fleet.Take(d)
+	}
+	if e.Config > 0 {
+		m.fleet.SetConfig(&vers.Config{Version: e.Config})
+	}
+	if e.Quorate != nil {
+		m.fleet.SetQuorate(*e.Quorate)
+	}
+	return m.observe(), nil
+}
+
+func (m *fleetMachine) observe() fleetObserved {
+	o := fleetObserved{Version: m.fleet.Config().Version, Refusing: m.fleet.Refusing(), Addresses: m.fleet.Addresses(16)}
+	sort.Strings(o.Addresses)
+	l := m.fleet.Pin("fitter-app")
+	if l == nil {
+		return o
+	}
+	o.Snapshot, o.Complete = l.Snapshot, l.Complete()
+	for _, s := range l.Shards {
+		for _, c := range s {
+			o.Servers = append(o.Servers, c.Server)
+		}
+	}
+	return o
+}
--- a/internal/vers/layout.go
+++ b/internal/vers/layout.go
@@ -26,7 +26,7 @@
 	plain   map[tier.Service][]tier.Candidate
 }
 
-// NewCatalog makes a catalog from the servers that are not draining.
+// NewCatalog makes a catalog from the servers that are not drained.
 func NewCatalog(servers map[tier.ServerID]tier.Announcement, drained func(tier.ServerID) bool) *Catalog {
 	touched := map[tier.Service]bool{}
 	for _, s := range servers {
@@ -51,7 +51,7 @@
 	}
 	var ids []tier.ServerID
 	for id, s := range servers {
-		if touched[s.Service] && !s.Draining && !drained(id) {
+		if touched[s.Service] && !drained(id) {
 			ids = append(ids, id)
 		}
 	}
@@ -114,6 +114,14 @@
 	return best
 }
 
+// Newest returns the newest snapshot, whole or not, or nil.
+func (c *Catalog) Newest(s tier.Service) *Layout {
+	if len(c.layouts[s]) == 0 {
+		return nil
+	}
+	return c.layouts[s][0]
+}
+
 // Plain returns the servers of a service without an index.
 func (c *Catalog) Plain(s tier.Service) []tier.Candidate { return c.plain[s] }
 
