--- a/spec/check.sh
+++ b/spec/check.sh
@@ -20,5 +20,5 @@
 check claim '' pass
 for v in NOCLAIM TAKEOVER GUESS LOOSE; do check claim "-D$v" caught; done
 check log '' pass
-for v in KEEPID EARLY; do check log "-D$v" caught; done
+for v in KEEPID EARLY OLDTERM; do check log "-D$v" caught; done
 echo "models: all as expected"
--- a/spec/log.pml
+++ b/spec/log.pml
@@ -9,7 +9,7 @@
  *   -DOLDTERM entries of former terms are committed by counting replicas
  */
 #define N 3
-#define TERMS 4
+#define TERMS 5
 #define SLOTS 2
 
 #ifdef OLDTERM
