Real-process tests, settings, pages, lint; peers tell a node where it stands

Cause: under a rolling restart 110 requests were refused, and writes ended as no_owner after the leader was killed: a node learnt only half a second after its lease had ended that its peers had no control either, and a peer with a newer membership made it refuse everything. Change: a node asks its peers before its lease ends; it takes a newer membership from them; it sends to its servers while no peer has heard from control lately, and serves callers while most peers answer. Ruled out: the drain itself (no request failed) and the hub's grace period.

--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -16,14 +16,18 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := root().ExecuteContext(ctx); err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
 		os.Exit(1)
 	}
 }
 
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return root().ExecuteContext(ctx)
+}
+
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "loadgen", Short: "Drive loads at entries and measure", SilenceErrors: true, SilenceUsage: true}
 	cmd.AddCommand(runCommand(), experimentCommand(), fleetCommand())
@@ -73,7 +77,7 @@
 	cmd := &cobra.Command{
 		Use: "run", Short: "Drive one load", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := load.LoadSpec(o.spec)
+			s, err := load.Read(o.spec)
 			if err != nil {
 				return err
 			}
@@ -93,7 +97,7 @@
 	cmd := &cobra.Command{
 		Use: "experiment", Short: "Run the named variants, interleaved on the same seeds", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := load.LoadSpec(o.spec)
+			s, err := load.Read(o.spec)
 			if err != nil {
 				return err
 			}
--- a/internal/cmdln/config.go
+++ b/internal/cmdln/config.go
@@ -140,6 +140,7 @@
 		return errors.Wrapf(err, "outcome not known; send again with --change-id %s --base %d", ch.ID, ch.Base)
 	}
 	switch res.Status {
+	case store.ChangeAccepted:
 	case store.ChangeRaced:
 		return exit(ExitRaced, errors.Errorf("not accepted: version %d is in force, the change was based on %d; look at config diff and try again", res.Version, ch.Base))
 	case store.ChangeInvalid:
--- a/internal/cmdln/fleet.go
+++ b/internal/cmdln/fleet.go
@@ -207,7 +207,7 @@
 			})
 		},
 	}
-	clear := &cobra.Command{
+	end := &cobra.Command{
 		Use: "clear FINGERPRINT|all", Short: "End a quarantine", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			if _, err := strconv.ParseUint(args[0], 10, 64); err != nil && args[0] != "all" {
@@ -216,6 +216,6 @@
 			return o.ask(http.MethodDelete, "/v1/ops/suspects/"+args[0], nil)
 		},
 	}
-	cmd.AddCommand(list, clear)
+	cmd.AddCommand(list, end)
 	return cmd
 }
--- a/internal/cmdln/man.go
+++ b/internal/cmdln/man.go
@@ -5,7 +5,7 @@
 	"github.com/spf13/cobra/doc"
 )
 
-func manCommand(o *options) *cobra.Command {
+func manCommand(_ *options) *cobra.Command {
 	return &cobra.Command{
 		Use: "man DIR", Short: "Write manual pages into a folder", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/cmdln/root.go
+++ b/internal/cmdln/root.go
@@ -95,7 +95,7 @@
 	f.DurationVar(&o.timeout, "timeout", 10*time.Second, "longest time for the whole command")
 	root.AddCommand(serveCommand(o), settingsCommand(o), hashCommand(o), certCommand(o), versionCommand(o))
 	root.AddCommand(statusCommand(o), configCommand(o), exceptionCommand(o), nodeCommand(o), serverCommand(o), controlCommand(o), suspectCommand(o))
-	root.AddCommand(queryCommand(o), writeCommand(o), replayCommand(o), manCommand(o))
+	root.AddCommand(queryCommand(o), writeCommand(o), replayCommand(o), manCommand(o), eventsCommand(o))
 	return root
 }
 
@@ -149,6 +149,7 @@
 		return exit(ExitPartial, err)
 	case tier.NotRun:
 		return exit(ExitNotRun, err)
+	case tier.Unknown:
 	}
 	return exit(ExitUnknown, err)
 }
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -152,8 +152,10 @@
 	s.TLS = setup.TLS{CA: filepath.Join(f.Certs, "ca.pem"), Cert: filepath.Join(f.Certs, name+".pem"), Key: filepath.Join(f.Certs, name+".key")}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return &node.Node{Settings: s, Log: log, Clock: tier.NewClock(), Stats: stats.NewRegistry(),
-		Wrap: func(c net.PacketConn) net.PacketConn { return counted{c, f} }}
+	return &node.Node{
+		Settings: s, Log: log, Clock: tier.NewClock(), Stats: stats.NewRegistry(),
+		Wrap: func(c net.PacketConn) net.PacketConn { return counted{c, f} },
+	}
 }
 
 // announce keeps the servers of one node announced there.
@@ -227,8 +229,10 @@
 		if err := ops.Ops(ctx, http.MethodGet, "/v1/ops/config", nil, &now); err != nil {
 			return err
 		}
-		ch := vers.Change{ID: tier.ChangeID(fmt.Sprintf("slope-%d-%d", f.Nodes, time.Now().UnixNano())), Base: now.Version, Reason: "slope",
-			Edits: []vers.Edit{{Set: &vers.Default{Key: vers.KeyHedgeBudget, Value: int64(20 + i)}}}}
+		ch := vers.Change{
+			ID: tier.ChangeID(fmt.Sprintf("slope-%d-%d", f.Nodes, time.Now().UnixNano())), Base: now.Version, Reason: "slope",
+			Edits: []vers.Edit{{Set: &vers.Default{Key: vers.KeyHedgeBudget, Value: int64(20 + i)}}},
+		}
 		began := time.Now()
 		var res store.ChangeResult
 		if err := ops.Ops(ctx, http.MethodPost, "/v1/ops/config", ch, &res); err != nil {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -72,16 +72,15 @@
 
 // tally gathers the samples of one stream.
 type tally struct {
-	mu       sync.Mutex
-	rep      StreamReport
-	all      *hdr.Histogram
-	refused  *hdr.Histogram
-	seconds  []*hdr.Histogram
-	covered  float64
-	queries  float64
-	needed   int64
-	wrongs   Wrongs
-	answered int64
+	mu      sync.Mutex
+	rep     StreamReport
+	all     *hdr.Histogram
+	refused *hdr.Histogram
+	seconds []*hdr.Histogram
+	covered float64
+	queries float64
+	needed  int64
+	wrongs  Wrongs
 }
 
 func newTally(s Stream, seconds int) *tally {
--- a/internal/load/spec.go
+++ b/internal/load/spec.go
@@ -66,8 +66,8 @@
 	RateOf   map[string]float64 `json:"rate_of"`
 }
 
-// LoadSpec reads a description from a file of JSON with comments.
-func LoadSpec(path string) (Spec, error) {
+// Read reads a description from a file of JSON with comments.
+func Read(path string) (Spec, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return Spec{}, tier.At("read load description", path, err)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -230,9 +230,18 @@
 	return n.fleet.Take(d)
 }
 
+// takeMembership takes over what a peer knows of a newer membership.
+func (n *Node) takeMembership(d hub.Down) {
+	if c := n.fleet.Take(d); c.Any() {
+		n.tableChanged(c)
+	}
+}
+
 // tableChanged hands a change of the membership to those who go by it. A
 // server instance that turns up after the node got ready is cold.
 func (n *Node) tableChanged(c hub.Change) {
+	n.changing.Lock()
+	defer n.changing.Unlock()
 	t := n.fleet.Table()
 	fresh := map[tier.ServerID]bool{}
 	for id := range c.Servers {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -190,6 +190,7 @@
 		ids, err := r.Lagging(ctx, req.Version)
 		rep.Lagging = ids
 		return err
+	case adminStatus, adminAdd, adminRemove, adminHand:
 	}
 	if err := r.Read(ctx, func(*store.Store) {}); err != nil {
 		return err
@@ -210,6 +211,7 @@
 	case adminHand:
 		l.replica.Hand(ctx)
 		return nil
+	default:
 	}
 	return errors.Errorf("unknown request %q", req.Kind)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,8 +72,9 @@
 	changed bool
 	acked   hub.Stamp
 
-	// seen is the last instance of every server; only the follower uses it.
-	seen map[tier.ServerID]tier.Instance
+	// changing is held while a change of the membership is handed on; taken before mu.
+	changing sync.Mutex
+	seen     map[tier.ServerID]tier.Instance
 }
 
 // Build makes the parts; it must be called once before Run.
@@ -210,13 +211,13 @@
 	s := &n.Settings
 	event.NodeStarted.Log(n.Log, nil, logrus.Fields{"node": s.Node, "zone": s.Zone, "callers": s.Callers, "peers": s.Peers, "version": Version})
 	var g run.Group
-	n.actor(&g, ctx, n.untilDrained)
-	n.actor(&g, base, n.raft.Run)
-	n.actor(&g, base, n.greet.Run)
-	n.actor(&g, base, n.follow)
-	n.actor(&g, base, n.watchPeers)
-	n.actor(&g, base, n.watchLeases)
-	n.actor(&g, base, n.runReplica)
+	n.actor(ctx, &g, n.untilDrained)
+	n.actor(base, &g, n.raft.Run)
+	n.actor(base, &g, n.greet.Run)
+	n.actor(base, &g, n.follow)
+	n.actor(base, &g, n.watchPeers)
+	n.actor(base, &g, n.watchLeases)
+	n.actor(base, &g, n.runReplica)
 	g.Add(n.web.serve, func(error) { n.web.close() })
 	err := g.Run()
 	cancel()
@@ -227,7 +228,7 @@
 }
 
 // actor adds a function that runs until its context ends.
-func (n *Node) actor(g *run.Group, ctx context.Context, f func(context.Context) error) {
+func (n *Node) actor(ctx context.Context, g *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,18 +8,28 @@
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 const (
 	// pollEvery is how often a node without control asks its peers.
 	pollEvery = 500 * time.Millisecond
+	// pollAhead is the rest of the lease at which the node begins to ask, so
+	// that it knows where it stands when the lease ends.
+	pollAhead   = 1500 * time.Millisecond
+	pollTimeout = 300 * time.Millisecond
+	// controlRecent is the age of a peer's lease renewal below which control
+	// counts as alive: one and a half heartbeats.
+	controlRecent = 3 * beatEvery / 2
 	// pollSize is how many peers it asks.
 	pollSize = 16
 )
 
-// watchPeers lets the node go on without control while most of the entries
-// that it asks answer and none knows of a newer membership. A newer accepted
-// configuration is taken from whichever peer has it.
+// watchPeers lets the node go on without control. While most of the entries
+// that it asks answer, it serves callers with what the newest of them knows.
+// While none of them has heard from control lately either, it also goes on
+// sending to the servers that it owns: nobody can have moved them.
 func (n *Node) watchPeers(ctx context.Context) error {
 	t := time.NewTicker(pollEvery)
 	defer t.Stop()
@@ -30,15 +40,15 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		if n.fleet.Leased() || !n.fleet.Ready() {
+		if n.fleet.LeaseLeft() > pollAhead || !n.fleet.Ready() {
 			if lost {
-				lost = false
 				event.ControlFound.Log(n.Log, nil, nil)
 			}
-			n.fleet.SetQuorate(false)
+			lost = false
+			n.fleet.SetPeers(false, false)
 			continue
 		}
-		if !lost {
+		if !lost && !n.fleet.Leased() {
 			lost = true
 			event.ControlLost.Log(n.Log, nil, nil)
 		}
@@ -49,31 +59,33 @@
 func (n *Node) poll(ctx context.Context) {
 	peers := n.fleet.Sample(pollSize)
 	answers := make(chan *peerReply, len(peers))
-	ctx, cancel := context.WithTimeout(ctx, pollEvery)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	req := peerRequest{Config: n.fleet.Config().Version, Have: n.fleet.Table().Stamp, Digests: n.fleet.Table().Digests()}
 	for _, p := range peers {
-		go func() { answers <- n.askPeer(ctx, p) }()
+		go func() { answers <- n.askPeer(ctx, p, req) }()
 	}
-	mine := n.fleet.Table().Stamp
-	heard, newer := 1, false
+	heard, controlled := 1, false
 	for range peers {
 		a := <-answers
 		if a == nil {
 			continue
 		}
 		heard++
-		newer = newer || mine.Less(a.Stamp)
+		controlled = controlled || a.RenewedMs.Duration() < controlRecent
+		if a.Table != nil {
+			n.takeMembership(*a.Table)
+		}
 	}
-	ok := 2*heard > len(peers)+1 && !newer
-	if !ok {
-		event.NodeIsolated.Log(n.Log, nil, logrus.Fields{"heard": heard, "asked": len(peers) + 1, "newer": newer})
+	most := 2*heard > len(peers)+1
+	if !most && !n.fleet.Leased() {
+		event.NodeIsolated.Log(n.Log, nil, logrus.Fields{"heard": heard, "asked": len(peers) + 1})
 	}
-	n.fleet.SetQuorate(ok)
+	n.fleet.SetPeers(most, controlled)
 }
 
-func (n *Node) askPeer(ctx context.Context, p conn.Peer) *peerReply {
+func (n *Node) askPeer(ctx context.Context, p conn.Peer, req peerRequest) *peerReply {
 	var rep peerReply
-	req := peerRequest{Config: n.fleet.Config().Version}
 	if n.mesh.Call(ctx, p, conn.KindPeer, req, &rep) != nil {
 		return nil
 	}
@@ -88,9 +100,13 @@
 	if s.Recv(&req) != nil {
 		return
 	}
-	rep := peerReply{Stamp: n.fleet.Table().Stamp, Leased: n.fleet.Leased()}
+	rep := peerReply{RenewedMs: tier.ToMillis(hub.NodeLease - n.fleet.LeaseLeft())}
 	if c := n.fleet.Config(); c.Version > req.Config {
 		rep.Config = c
 	}
+	if t := n.fleet.Table(); req.Have.Less(t.Stamp) {
+		d := t.Diff(req.Digests)
+		rep.Table = &d
+	}
 	_ = s.Send(rep)
 }
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -29,7 +29,7 @@
 // listen opens the address for callers, servers and operators.
 func (n *Node) listen() error {
 	s := &n.Settings
-	l, err := net.Listen("tcp", s.Callers)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Callers)
 	if err != nil {
 		return tier.At("listen for callers", s.Callers, err)
 	}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -47,14 +47,19 @@
 	Backup  []byte        `cbor:"7,keyasint,omitempty"`
 }
 
-// peerRequest asks another node what it knows; the answer has the
-// configuration if it is newer than Config.
+// peerRequest asks another node what it knows. The answer has the
+// configuration if it is newer than Config, and what differs in the membership
+// if that is newer than Have.
 type peerRequest struct {
-	Config tier.ConfigVersion `cbor:"1,keyasint"`
+	Config  tier.ConfigVersion `cbor:"1,keyasint"`
+	Have    hub.Stamp          `cbor:"2,keyasint"`
+	Digests []uint64           `cbor:"3,keyasint"`
 }
 
+// peerReply answers a peerRequest. RenewedMs is the age of the peer's last
+// answered heartbeat.
 type peerReply struct {
-	Stamp  hub.Stamp    `cbor:"1,keyasint"`
-	Leased bool         `cbor:"2,keyasint"`
-	Config *vers.Config `cbor:"3,keyasint,omitempty"`
+	RenewedMs tier.Millis  `cbor:"1,keyasint"`
+	Config    *vers.Config `cbor:"2,keyasint,omitempty"`
+	Table     *hub.Down    `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/proc/ctrl/ask.go
+++ b/internal/proc/ctrl/ask.go
@@ -126,8 +126,10 @@
 	var s Status
 	err := r.call(ctx, func() {
 		c := &r.core
-		s = Status{Replica: c.ID, Role: c.Role().String(), Term: c.Term(), Leader: c.LeaderID(),
-			Members: c.Membership(), Last: c.LastIndex(), Applied: c.Applied(), Versions: len(r.store.History())}
+		s = Status{
+			Replica: c.ID, Role: c.Role().String(), Term: c.Term(), Leader: c.LeaderID(),
+			Members: c.Membership(), Last: c.LastIndex(), Applied: c.Applied(), Versions: len(r.store.History()),
+		}
 		if c.Role() != quorum.Leader {
 			return
 		}
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -79,10 +79,8 @@
 	greeted   time.Duration
 	swept     time.Duration
 	snapped   map[tier.ReplicaID]time.Duration
-	repair    tier.ReplicaID
 
 	hub     *hub.Hub
-	hubTerm tier.Term
 	opening bool
 	subs    map[*Sub]bool
 	role    quorum.Role
@@ -236,7 +234,7 @@
 		p.done <- answer{err: errors.Wrap(err, "encode command")}
 		return
 	}
-	i, term, err := r.core.Propose(r.Clock.Now(), b)
+	i, term, err := r.core.Propose(b)
 	if err != nil {
 		p.done <- answer{err: err}
 		return
--- a/internal/proc/ctrl/watch.go
+++ b/internal/proc/ctrl/watch.go
@@ -131,7 +131,7 @@
 // tickHub opens the hub once leadership is confirmed, and pushes changes.
 func (r *Replica) tickHub(now time.Duration) {
 	if r.hub == nil {
-		r.openHub(now)
+		r.openHub()
 		return
 	}
 	r.hub.Tick(now)
@@ -149,7 +149,7 @@
 	return pushEvery * time.Duration(1+servers/serversPerGap)
 }
 
-func (r *Replica) openHub(now time.Duration) {
+func (r *Replica) openHub() {
 	if !r.core.Serving() || r.opening {
 		return
 	}
--- a/internal/proc/fleet/fleet.go
+++ b/internal/proc/fleet/fleet.go
@@ -57,7 +57,8 @@
 	known   atomic.Bool
 	config  atomic.Pointer[vers.Config]
 	catalog atomic.Pointer[vers.Catalog]
-	quorate atomic.Bool
+	// most is set while most peers are reached, alone while none of them has control either.
+	most, alone atomic.Bool
 }
 
 // Start empties the fleet.
@@ -201,17 +202,24 @@
 }
 
 // Leased reports whether the node's own lease is in force.
-func (f *Fleet) Leased() bool {
-	return f.Clock.Now()-time.Duration(f.renewed.Load()) < hub.NodeLease
+func (f *Fleet) Leased() bool { return f.LeaseLeft() > 0 }
+
+// LeaseLeft returns how long the node's own lease is still in force.
+func (f *Fleet) LeaseLeft() time.Duration {
+	return hub.NodeLease - (f.Clock.Now() - time.Duration(f.renewed.Load()))
 }
 
-// SetQuorate notes whether most entries are reached and none knows of a newer membership.
-func (f *Fleet) SetQuorate(ok bool) { f.quorate.Store(ok) }
+// SetPeers notes what the peers made known to a node without a lease: whether
+// most of those asked answered, and whether any heard from control lately.
+func (f *Fleet) SetPeers(most, controlled bool) {
+	f.most.Store(most)
+	f.alone.Store(most && !controlled)
+}
 
 // MaySend reports whether this node may send to a server now.
 func (f *Fleet) MaySend(id tier.ServerID) bool {
 	since, owned := f.state.Load().since[id]
-	return owned && !f.settled.Load().Less(since) && (f.Leased() || f.quorate.Load())
+	return owned && !f.settled.Load().Less(since) && (f.Leased() || f.alone.Load())
 }
 
 // Refusing returns why this node must take on nothing now, or ReasonNone.
@@ -219,7 +227,7 @@
 	switch {
 	case !f.Ready():
 		return tier.ReasonNoControl
-	case !f.Leased() && !f.quorate.Load() && !f.Unsafe.NoLease:
+	case !f.Leased() && !f.most.Load() && !f.Unsafe.NoLease:
 		return tier.ReasonIsolated
 	}
 	return tier.ReasonNone
@@ -257,6 +265,6 @@
 	if len(near) >= n && len(far) > 0 && n > 1 {
 		near = near[:n-1]
 	}
-	all := append(near, far...)
-	return all[:min(n, len(all))]
+	near = append(near, far...)
+	return near[:min(n, len(near))]
 }
--- a/internal/proc/hub/hub.go
+++ b/internal/proc/hub/hub.go
@@ -298,24 +298,8 @@
 
 // Resync answers a node's first message: the buckets in which its copy differs.
 func (h *Hub) Resync(digests []uint64) Down {
-	d := h.head()
-	want := map[int]bool{}
-	for i, v := range h.digests {
-		if i >= len(digests) || digests[i] != v {
-			want[i] = true
-			d.Whole = append(d.Whole, i)
-		}
-	}
-	for id, n := range h.table.Nodes {
-		if want[bucketOf(string(id))] {
-			d.Nodes = append(d.Nodes, n)
-		}
-	}
-	for id, s := range h.table.Servers {
-		if want[bucketOf(string(id))] {
-			d.Servers = append(d.Servers, s)
-		}
-	}
+	d := h.table.missing(h.digests, digests)
+	d.Settled = h.settled
 	return d
 }
 
--- a/internal/proc/hub/table.go
+++ b/internal/proc/hub/table.go
@@ -78,6 +78,31 @@
 	return d
 }
 
+// Diff returns the buckets in which a copy with those digests differs.
+func (t *Table) Diff(digests []uint64) Down { return t.missing(t.Digests(), digests) }
+
+func (t *Table) missing(mine, digests []uint64) Down {
+	d := Down{Stamp: t.Stamp}
+	want := map[int]bool{}
+	for i, v := range mine {
+		if i >= len(digests) || digests[i] != v {
+			want[i] = true
+			d.Whole = append(d.Whole, i)
+		}
+	}
+	for id, n := range t.Nodes {
+		if want[bucketOf(string(id))] {
+			d.Nodes = append(d.Nodes, n)
+		}
+	}
+	for id, s := range t.Servers {
+		if want[bucketOf(string(id))] {
+			d.Servers = append(d.Servers, s)
+		}
+	}
+	return d
+}
+
 func digest(v any) uint64 {
 	b, err := frame.Marshal(v)
 	if err != nil {
--- a/internal/proc/quorum/core.go
+++ b/internal/proc/quorum/core.go
@@ -299,7 +299,7 @@
 }
 
 // Propose appends a command; it returns the entry's index and term.
-func (c *Core) Propose(now time.Duration, data []byte) (tier.Index, tier.Term, error) {
+func (c *Core) Propose(data []byte) (tier.Index, tier.Term, error) {
 	if c.role != Leader || c.transfer != "" {
 		return 0, 0, tier.ErrNotLeader
 	}
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -36,10 +36,10 @@
 }
 
 func (e *Engine) query(ctx context.Context, now time.Duration, id tier.RequestID, a tier.Account, q tier.QueryRequest) tier.QueryAnswer {
-	print := Print(q.Service, q.Body)
-	hold, suspect := e.quarantined(print)
+	finger := Print(q.Service, q.Body)
+	hold, suspect := e.quarantined(finger)
 	if hold > 0 {
-		event.RequestPoisonous.Log(e.Log, nil, logrus.Fields{"account": a, "service": q.Service, "fingerprint": print})
+		event.RequestPoisonous.Log(e.Log, nil, logrus.Fields{"account": a, "service": q.Service, "fingerprint": finger})
 		return notRun(tier.ReasonQuarantine, hold)
 	}
 	if e.Fleet.Pin(q.Service) == nil {
@@ -50,7 +50,7 @@
 		return notRun(why, after)
 	}
 	g := &gather{
-		engine: e, id: id, query: q, rank: rank, print: print, suspect: suspect,
+		engine: e, id: id, query: q, rank: rank, print: finger, suspect: suspect,
 		deadline: now + e.deadline(q.DeadlineMs, q.Service, a),
 	}
 	ans := g.run(ctx)
@@ -81,7 +81,6 @@
 	replies chan conn.Reply
 	cancels map[int]func()
 	sent    map[int]time.Duration
-	firsts  int
 }
 
 // mostRestarts bounds how often a query moves on to a newer snapshot.
@@ -194,6 +193,7 @@
 			g.cancel(now, a)
 		case ActClear:
 			g.engine.clearSuspect(g.print)
+		case ActFinish:
 		}
 	}
 	for _, b := range batches {
--- a/internal/reqst/write.go
+++ b/internal/reqst/write.go
@@ -22,7 +22,7 @@
 	pollFirst = 20 * time.Millisecond
 	pollMost  = 320 * time.Millisecond
 	// mostServers is how many servers are tried with a write that none has run.
-	mostServers = 4
+	mostServers = 8
 	// MaxKey is the longest key of a write, in bytes.
 	MaxKey = 256
 )
@@ -88,6 +88,7 @@
 			return tier.WriteAnswer{Outcome: tier.NotRun, Reason: tier.ReasonConflict}
 		case store.ClaimExpired:
 			return tier.WriteAnswer{Outcome: tier.Unknown, Reason: ReasonKeyExpired}
+		case store.ClaimPending:
 		}
 		r.seen = true
 		if r.abandoned(res) || !r.pause(ctx, poll) {
@@ -205,6 +206,7 @@
 		return store.Record{Outcome: tier.Done, Server: rep.Server, Data: rep.Data}
 	case conn.FateNotRun:
 		return store.Record{Outcome: tier.NotRun, Reason: rep.Reason}
+	case conn.FateFailed:
 	}
 	return store.Record{Outcome: tier.Unknown, Reason: rep.Reason, Server: rep.Server}
 }
--- a/internal/setup/schema.go
+++ b/internal/setup/schema.go
@@ -38,8 +38,10 @@
 			out = append(out, rows(key, ft)...)
 			continue
 		}
-		out = append(out, Row{Key: key, Type: kind + strings.TrimPrefix(kindName(ft.Kind()), "a "), Unit: f.Tag.Get("unit"),
-			Default: f.Tag.Get("default"), Allowed: f.Tag.Get("allow"), Doc: f.Tag.Get("doc")})
+		out = append(out, Row{
+			Key: key, Type: kind + strings.TrimPrefix(kindName(ft.Kind()), "a "), Unit: f.Tag.Get("unit"),
+			Default: f.Tag.Get("default"), Allowed: f.Tag.Get("allow"), Doc: f.Tag.Get("doc"),
+		})
 	}
 	return out
 }
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -62,7 +62,7 @@
 
 // start listens and serves as a new instance.
 func (s *server) start() error {
-	l, err := net.Listen("tcp", s.address)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.address)
 	if err != nil {
 		return tier.At("listen", s.address, err)
 	}
--- a/internal/stand/spec.go
+++ b/internal/stand/spec.go
@@ -115,7 +115,12 @@
 	if err != nil {
 		return Spec{}, tier.At("read stand-in description", path, err)
 	}
-	if b, err = hujson.Standardize(b); err != nil {
+	return parseSpec(path, b)
+}
+
+func parseSpec(path string, b []byte) (Spec, error) {
+	b, err := hujson.Standardize(b)
+	if err != nil {
 		return Spec{}, tier.At("parse stand-in description", path, err)
 	}
 	var s Spec
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -58,7 +59,7 @@
 	for _, v := range s.servers {
 		_ = v.http.Close()
 	}
-	if ctx.Err() != nil {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/internal/system/fleet_test.go
@@ -0,0 +1,399 @@
+// Package system tests sassafrasring as real processes: nodes are started,
+// killed, frozen and stopped, with stand-in servers in the test's process.
+package system
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/internal/cert"
+	"sassafrasring.dev/sassafrasring/internal/node"
+	"sassafrasring.dev/sassafrasring/internal/proc/store"
+	"sassafrasring.dev/sassafrasring/internal/stand"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/client"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+const (
+	// patience is how long an event that must come is awaited.
+	patience = 60 * time.Second
+	poll     = 20 * time.Millisecond
+	secret   = "secret"
+	token    = "token"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sassafrasring")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "sassafrasring")
+	if out, err := exec.Command("go", "build", "-o", binary, "../..").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one node.
+type process struct {
+	name     string
+	settings string
+	data     string
+	callers  string
+	cmd      *exec.Cmd
+	ended    chan error
+}
+
+// fleet is a set of nodes with stand-in servers.
+type fleet struct {
+	t     *testing.T
+	dir   string
+	nodes []*process
+	admin string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// shape describes a fleet.
+type shape struct {
+	nodes    int
+	services []stand.Service
+}
+
+var zones = []tier.Zone{"zg-a", "os-a", "ka-a"}
+
+// search is a service of groups of three servers, like fitter-app on a small scale.
+func search(name tier.Service, groups int) stand.Service {
+	return stand.Service{Name: name, Groups: groups, Replicas: 3, Slots: 5, Connections: 40, NewConnMs: 1, WorkMs: 2, Zones: zones}
+}
+
+// desk is a service for writes.
+func desk(servers int) stand.Service {
+	return stand.Service{Name: "dispatch-desk", Groups: servers, Replicas: 1, Slots: 4, Connections: 130, NewConnMs: 1, WorkMs: 2, Write: true, Zones: zones}
+}
+
+func free(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		return c.LocalAddr().String()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// freeRange returns the first of n ports in a row that are free.
+func freeRange(t *testing.T, n int) int {
+	t.Helper()
+	for base := 30000 + os.Getpid()%200*100; base < 60000; base += n {
+		ok := true
+		for p := base; p < base+n && ok; p++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+			if ok = err == nil; ok {
+				_ = l.Close()
+			}
+		}
+		if ok {
+			return base
+		}
+	}
+	require.Fail(t, "no free ports")
+	return 0
+}
+
+// newFleet starts nodes and servers and waits until every node knows all of them.
+func newFleet(t *testing.T, s shape) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir()}
+	m := &cert.Maker{Folder: filepath.Join(f.dir, "tls")}
+	require.NoError(t, m.Open())
+	var peers, callers []string
+	for i := range s.nodes {
+		require.NoError(t, m.Node(fmt.Sprintf("n%d", i), nil))
+		peers = append(peers, free(t, "udp"))
+		callers = append(callers, free(t, "tcp"))
+	}
+	for i := range s.nodes {
+		f.nodes = append(f.nodes, f.write(i, peers, callers[i]))
+	}
+	t.Cleanup(f.close)
+	for _, p := range f.nodes {
+		f.start(p)
+	}
+	f.serve(s, callers)
+	servers := 0
+	for _, v := range s.services {
+		servers += v.Groups * v.Replicas
+	}
+	for _, p := range f.nodes {
+		f.awaitNode(p, servers)
+	}
+	return f
+}
+
+// write makes the settings of node i; the first three are control hosts.
+func (f *fleet) write(i int, peers []string, callers string) *process {
+	name := fmt.Sprintf("n%d", i)
+	p := &process{name: name, settings: filepath.Join(f.dir, name+".jsonc"), data: filepath.Join(f.dir, name+".data"), callers: callers}
+	tls := filepath.Join(f.dir, "tls")
+	settings := map[string]any{
+		"node": name, "zone": zones[i%len(zones)], "roles": []string{"entry"}, "callers": callers, "peers": peers[i], "found": i == 0,
+		"tls":           map[string]string{"ca": tls + "/ca.pem", "cert": tls + "/" + name + ".pem", "key": tls + "/" + name + ".key"},
+		"accounts":      []map[string]string{{"name": "desk", "sha256": node.Hash(secret)}, {"name": "phones", "sha256": node.Hash(secret)}},
+		"operators":     []map[string]string{{"name": "ops", "sha256": node.Hash(secret)}},
+		"server_tokens": []string{node.Hash(token)},
+	}
+	var control []map[string]string
+	for k := range min(3, len(peers)) {
+		control = append(control, map[string]string{"node": fmt.Sprintf("n%d", k), "peer": peers[k]})
+	}
+	settings["control"] = control
+	if i < 3 {
+		settings["roles"] = []string{"entry", "control"}
+		settings["data"] = p.data
+	}
+	b, err := json.Marshal(settings)
+	require.NoError(f.t, err)
+	require.NoError(f.t, os.WriteFile(p.settings, b, 0o600))
+	return p
+}
+
+func (f *fleet) start(p *process) {
+	log, err := os.OpenFile(filepath.Join(f.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(f.t, err)
+	p.cmd = exec.Command(binary, "serve", "-c", p.settings)
+	p.cmd.Stderr = log
+	require.NoError(f.t, p.cmd.Start())
+	cmd, ended := p.cmd, make(chan error, 1)
+	p.ended = ended
+	go func() {
+		ended <- cmd.Wait()
+		_ = log.Close()
+	}()
+}
+
+func (f *fleet) serve(s shape, callers []string) {
+	if len(s.services) == 0 {
+		return
+	}
+	f.admin = free(f.t, "tcp")
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop, f.done = cancel, make(chan error, 1)
+	st := &stand.Stand{Spec: stand.Spec{
+		Admin: f.admin, Entries: callers, Token: token, Host: "127.0.0.1", BasePort: freeRange(f.t, 100), Seed: 1, LeaseMs: 2000, Services: s.services,
+	}}
+	go func() { f.done <- st.Run(ctx) }()
+}
+
+func (f *fleet) close() {
+	if f.t.Failed() {
+		f.printLogs()
+	}
+	for _, p := range f.nodes {
+		if p.cmd != nil && p.ended != nil {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			f.kill(p)
+		}
+	}
+	if f.stop != nil {
+		f.stop()
+		require.NoError(f.t, <-f.done)
+	}
+}
+
+const lastLines = 15
+
+func (f *fleet) printLogs() {
+	for _, p := range f.nodes {
+		b, _ := os.ReadFile(filepath.Join(f.dir, p.name+".log"))
+		lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+		f.t.Logf("%s:\n%s", p.name, strings.Join(lines[max(0, len(lines)-lastLines):], "\n"))
+	}
+}
+
+// kill ends a node with SIGKILL.
+func (f *fleet) kill(p *process) {
+	if p.ended == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	_ = <-p.ended
+	p.ended = nil
+}
+
+// terminate drains a node and waits until it has ended cleanly.
+func (f *fleet) terminate(p *process) {
+	require.NoError(f.t, p.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-p.ended:
+		require.NoError(f.t, err, "a planned stop must end with exit code 0")
+		p.ended = nil
+	case <-time.After(patience):
+		require.Fail(f.t, "drain did not end")
+	}
+}
+
+func (f *fleet) signal(p *process, s syscall.Signal) {
+	require.NoError(f.t, p.cmd.Process.Signal(s))
+}
+
+// await polls until ok returns true.
+func (f *fleet) await(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(poll) {
+		if ok() {
+			return
+		}
+	}
+	require.Fail(f.t, "awaited in vain: "+what)
+}
+
+func (f *fleet) awaitNode(p *process, servers int) {
+	f.t.Helper()
+	f.await(p.name+" ready", func() bool {
+		s, err := f.status(p)
+		return err == nil && s.Ready && s.Refusing == "" && s.Servers >= servers
+	})
+}
+
+func (f *fleet) ops(nodes ...*process) *client.Client {
+	return f.as("ops", nodes...)
+}
+
+func (f *fleet) as(name string, nodes ...*process) *client.Client {
+	if len(nodes) == 0 {
+		nodes = f.nodes
+	}
+	c := &client.Client{Name: name, Secret: secret, HTTP: &http.Client{Timeout: 20 * time.Second}}
+	for _, p := range nodes {
+		c.Entries = append(c.Entries, p.callers)
+	}
+	return c
+}
+
+func (f *fleet) context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	f.t.Cleanup(cancel)
+	return ctx
+}
+
+func (f *fleet) status(p *process) (node.Status, error) {
+	var s node.Status
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return s, f.ops().Do(ctx, p.callers, http.MethodGet, "/v1/ops/status", nil, &s)
+}
+
+// leader returns the node that leads the control group.
+func (f *fleet) leader() *process {
+	f.t.Helper()
+	var lead *process
+	f.await("a leader", func() bool {
+		var s node.ControlStatus
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if f.ops().Ops(ctx, http.MethodGet, "/v1/ops/control", nil, &s) != nil {
+			return false
+		}
+		for _, p := range f.nodes {
+			if string(s.Replica.Node()) == p.name {
+				lead = p
+			}
+		}
+		return lead != nil
+	})
+	return lead
+}
+
+// change proposes hedge.budget=value on base through the given nodes.
+func (f *fleet) change(ctx context.Context, id string, base tier.ConfigVersion, value int64, nodes ...*process) (store.ChangeResult, error) {
+	ch := vers.Change{ID: tier.ChangeID(id), Base: base, Reason: "test", Edits: []vers.Edit{{Set: &vers.Default{Key: vers.KeyHedgeBudget, Value: value}}}}
+	var res store.ChangeResult
+	err := f.ops(nodes...).Ops(ctx, http.MethodPost, "/v1/ops/config", ch, &res, http.StatusOK, http.StatusConflict, http.StatusUnprocessableEntity)
+	return res, err
+}
+
+// config returns the configuration in force on one node.
+func (f *fleet) config(p *process) *vers.Config {
+	var c vers.Config
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if f.ops().Do(ctx, p.callers, http.MethodGet, "/v1/ops/config?local=true", nil, &c) != nil {
+		return &vers.Config{}
+	}
+	return &c
+}
+
+func (f *fleet) awaitVersion(v tier.ConfigVersion, nodes ...*process) {
+	f.t.Helper()
+	for _, p := range nodes {
+		f.await(fmt.Sprintf("version %d on %s", v, p.name), func() bool { return f.config(p).Version >= v })
+	}
+}
+
+func (f *fleet) fault(x stand.Fault) {
+	b, err := json.Marshal(x)
+	require.NoError(f.t, err)
+	resp, err := http.Post("http://"+f.admin+"/fault", "application/json", strings.NewReader(string(b)))
+	require.NoError(f.t, err)
+	n, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	require.NoError(f.t, resp.Body.Close())
+	require.NotEqual(f.t, "0\n", string(n), "no server matches %q", x.Match)
+}
+
+func (f *fleet) counters() stand.Report {
+	var r stand.Report
+	resp, err := http.Get("http://" + f.admin + "/counters")
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&r))
+	return r
+}
+
+// query sends one query through the given node.
+func (f *fleet) query(p *process, body string) tier.QueryAnswer {
+	f.t.Helper()
+	var a tier.QueryAnswer
+	q := tier.QueryRequest{Service: "fitter-app", Body: json.RawMessage(body)}
+	err := f.as("desk").Do(f.context(), p.callers, http.MethodPost, "/v1/query", q, &a, http.StatusOK, http.StatusServiceUnavailable)
+	require.NoError(f.t, err)
+	return a
+}
+
+// write sends one write through the given node and returns its answer, or the error of a lost one.
+func (f *fleet) send(p *process, key, body string, deadline tier.Millis) (tier.WriteAnswer, error) {
+	var a tier.WriteAnswer
+	w := tier.WriteRequest{Service: "dispatch-desk", Key: key, Body: json.RawMessage(body), DeadlineMs: deadline}
+	err := f.as("desk").Do(f.context(), p.callers, http.MethodPost, "/v1/write", w, &a, http.StatusOK, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusConflict)
+	return a, err
+}
+
+func (f *fleet) controlStatus() (node.ControlStatus, error) {
+	var s node.ControlStatus
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return s, f.ops().Ops(ctx, http.MethodGet, "/v1/ops/control", nil, &s)
+}
--- a/internal/trace/fleet.go
+++ b/internal/trace/fleet.go
@@ -29,8 +29,9 @@
 	Beat    bool         `json:"beat"`
 	// Config offers a configuration of that version.
 	Config tier.ConfigVersion `json:"config"`
-	// Quorate says what the node's peers made known.
-	Quorate *bool `json:"quorate"`
+	// Peers says what the node's peers made known: "few" answered, "most"
+	// did, or most did and have "no control" either.
+	Peers string `json:"peers"`
 }
 
 type fleetObserved struct {
@@ -40,6 +41,7 @@
 	Snapshot  tier.Snapshot      `json:"snapshot"`
 	Complete  bool               `json:"complete"`
 	Servers   []tier.ServerID    `json:"candidates"`
+	MaySend   []tier.ServerID    `json:"may_send"`
 }
 
 func newFleetMachine(_ json.RawMessage, without string) (machine, error) {
@@ -76,13 +78,14 @@
 	if e.Beat || len(e.Nodes)+len(e.Servers) > 0 {
 		m.seq++
 		d.Stamp = hub.Stamp{Epoch: 1, Seq: m.seq}
+		d.Settled = d.Stamp
 		m.fleet.Take(d)
 	}
 	if e.Config > 0 {
 		m.fleet.SetConfig(&vers.Config{Version: e.Config})
 	}
-	if e.Quorate != nil {
-		m.fleet.SetQuorate(*e.Quorate)
+	if e.Peers != "" {
+		m.fleet.SetPeers(e.Peers != "few", e.Peers != "no control")
 	}
 	return m.observe(), nil
 }
@@ -90,6 +93,11 @@
 func (m *fleetMachine) observe() fleetObserved {
 	o := fleetObserved{Version: m.fleet.Config().Version, Refusing: m.fleet.Refusing(), Addresses: m.fleet.Addresses(16)}
 	sort.Strings(o.Addresses)
+	for id := range m.fleet.Table().Servers {
+		if m.fleet.MaySend(id) {
+			o.MaySend = append(o.MaySend, id)
+		}
+	}
 	l := m.fleet.Pin("fitter-app")
 	if l == nil {
 		return o
--- a/internal/trace/group.go
+++ b/internal/trace/group.go
@@ -271,7 +271,7 @@
 		return tier.ErrNotLeader
 	}
 	c := &g.all[id].core
-	if _, _, err := c.Propose(g.now, []byte(e.Propose)); err != nil {
+	if _, _, err := c.Propose([]byte(e.Propose)); err != nil {
 		return err
 	}
 	c.Flush()
--- a/internal/trace/plan.go
+++ b/internal/trace/plan.go
@@ -160,6 +160,7 @@
 			o.Cancelled = append(o.Cancelled, text)
 		case reqst.ActClear:
 			o.Cleared = true
+		case reqst.ActFinish:
 		}
 	}
 	return o
