Leader loss is noticed within a lease; quarantine and configuration go out at once

Cause: writes ended as no_owner for seconds after the leader was killed (TestLeaderKilledDuringWrites): a node looked for the silent leader only after 2 to 3 s and waited up to 2 s between tries, so that its lease of 3 s ended. And a request that kills servers killed 5 of them where 4 are allowed (TestPoisonIsBounded): the news waited up to 100 ms for the next push. Change: an unanswered heartbeat is noticed after 0.8 s, tries are 0.5 s apart at most, elections begin after 0.7 to 1.4 s; what the log accepts for all nodes is pushed as it is applied; a refused connection costs no retry. Ruled out: the ownership rules (a lease was over each time an owner refused).

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -17,11 +17,15 @@
 	beatEvery = time.Second
 	// kickGap is the least time between two messages to the leader.
 	kickGap = 50 * time.Millisecond
-	// beatSilence is how long the leader may leave heartbeats unanswered.
-	beatSilence = 2 * time.Second
+	// beatSilence is how long the leader may leave a heartbeat unanswered
+	// before another control host is asked; beatCheck is how often this is looked at.
+	beatSilence = 800 * time.Millisecond
+	beatCheck   = 100 * time.Millisecond
+	// joinTimeout bounds the opening of a subscription.
+	joinTimeout = 600 * time.Millisecond
 	// rejoinLeast and rejoinMost bound the jittered wait before the next subscription.
 	rejoinLeast = 50 * time.Millisecond
-	rejoinMost  = 2 * time.Second
+	rejoinMost  = 500 * time.Millisecond
 	downQueue   = 16
 )
 
@@ -48,7 +52,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := n.leader.target()
-	octx, stop := context.WithTimeout(ctx, conn.DialTimeout)
+	octx, stop := context.WithTimeout(ctx, joinTimeout)
 	s, err := n.mesh.Open(octx, p, conn.KindWatch)
 	stop()
 	if err != nil {
@@ -90,7 +94,10 @@
 	}
 	beat := time.NewTicker(beatEvery)
 	defer beat.Stop()
-	heard := n.Clock.Now()
+	check := time.NewTicker(beatCheck)
+	defer check.Stop()
+	asked := n.Clock.Now()
+	waiting := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,20 +107,24 @@
 				n.notLeader(p, d)
 				return
 			}
-			heard = n.Clock.Now()
+			waiting = false
 			n.leader.learn(p.Node)
 			if !n.takeAll(d, downs) {
 				return
 			}
 		case <-beat.C:
-			if n.Clock.Now()-heard > beatSilence {
-				n.leader.failed(p.Node)
-				n.mesh.Drop(p.Node)
-				return
+			if !waiting {
+				asked, waiting = n.Clock.Now(), true
 			}
 			if s.Send(n.up()) != nil {
 				return
 			}
+		case <-check.C:
+			if waiting && n.Clock.Now()-asked > beatSilence {
+				n.leader.failed(p.Node)
+				n.mesh.Drop(p.Node)
+				return
+			}
 		case <-n.kick:
 			if s.Send(n.up()) != nil {
 				return
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -25,7 +25,7 @@
 const (
 	tickEvery   = 20 * time.Millisecond
 	heartbeat   = 100 * time.Millisecond
-	election    = 1000 * time.Millisecond
+	election    = 700 * time.Millisecond
 	sweepEvery  = 5 * time.Second
 	greetEvery  = 500 * time.Millisecond
 	snapEvery   = time.Second
@@ -294,6 +294,12 @@
 }
 
 func (r *Replica) apply(es []quorum.Entry) {
+	version, poison := r.store.Config().Version, r.store.PoisonChanged()
+	defer func() {
+		if r.store.Config().Version != version || r.store.PoisonChanged() != poison {
+			r.pushAll()
+		}
+	}()
 	for _, e := range es {
 		res := r.applyOne(e)
 		w, ok := r.waiters[e.Index]
--- a/internal/proc/ctrl/watch.go
+++ b/internal/proc/ctrl/watch.go
@@ -137,12 +137,23 @@
 	r.hub.Tick(now)
 	gap := pushGap(len(r.hub.Table().Servers))
 	for s := range r.subs {
-		if now-s.pushed >= gap || (s.config != r.store.Config().Version && now-s.pushed >= pushEvery) {
+		if now-s.pushed >= gap {
 			r.push(now, s, 0)
 		}
 	}
 }
 
+// pushAll sends a new configuration or quarantine to every node at once.
+func (r *Replica) pushAll() {
+	if r.hub == nil || !r.core.Serving() {
+		return
+	}
+	now := r.Clock.Now()
+	for s := range r.subs {
+		r.push(now, s, 0)
+	}
+}
+
 // pushGap is the least time between two pushes; it grows with the membership,
 // whose owners and catalog every node works out anew for each push.
 func pushGap(servers int) time.Duration {
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -268,7 +268,7 @@
 	if pt.done || pt.held || pt.open > 0 {
 		return
 	}
-	if !free(r.Reason) && !p.Retry() {
+	if !free(r) && !p.Retry() {
 		p.miss(shard, r.Reason)
 		return
 	}
@@ -278,9 +278,13 @@
 }
 
 // free reports whether another try costs servers nothing, because the first
-// one never got any work.
-func free(r tier.Reason) bool {
-	return r == tier.ReasonDraining || r == tier.ReasonNoOwner || r == tier.ReasonVersion
+// one never reached a server that works.
+func free(r conn.Reply) bool {
+	switch r.Reason {
+	case tier.ReasonDraining, tier.ReasonNoOwner, tier.ReasonVersion, tier.ReasonLost:
+		return r.Fate == conn.FateNotRun
+	}
+	return false
 }
 
 // died holds a shard whose server died: the query may be what killed it.
