Admission lets slow services queue in proportion

Cause: under overload of a service of 40 ms a request, the fixed target of 20 ms of waiting kept servers idle: goodput 121 to 125/s at 2 and 5 times the load. Change: the wait that lowers the limit is at least half of the mean request. Ruled out: refusals at owners (shed 0, over slots 0 in all runs).

--- a/internal/proc/admit/admit.go
+++ b/internal/proc/admit/admit.go
@@ -23,6 +23,9 @@
 	// bulkShare and normalShare are the shares of the limit, in per cent, open to these classes.
 	bulkShare   = 70
 	normalShare = 95
+	// waitShare is the part of a request's mean time that its longest wait at
+	// an owner may be: services that take long may queue longer.
+	waitShare = 2
 	// retryLeast and retryMost bound the time after which a refused caller should come back.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 5 * time.Second
@@ -132,7 +135,8 @@
 }
 
 // Leave ends a request. queued is the longest time that a part of it waited
-// at an owner; overloaded says that a part was refused for overload.
+// at an owner, which lowers the limit when it is above target and a share of
+// the mean time; overloaded says that a part was refused for overload.
 func (g *Gate) Leave(now time.Duration, a tier.Account, name tier.Service, took, queued, target time.Duration, overloaded bool) {
 	s := g.service(name)
 	busy := float64(s.open) > s.limit*fairFrom/100
@@ -142,7 +146,7 @@
 	}
 	s.refused = 0
 	s.mean += (took - s.mean) / 8
-	if overloaded || queued > target {
+	if overloaded || queued > max(target, s.mean/waitShare) {
 		s.cut(now)
 		return
 	}
