One packet less to open a stream, and no cancellation at its end

Cause: a batch of sub-queries cost two packets to begin (head, batch) and a pair of cancellation frames to end. Change: the head goes out with the first frame; both ends close their side. Ruled out: the decisions (281 us of a query of 200 shards, 1.4 us per part).

--- a/internal/conn/mesh.go
+++ b/internal/conn/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -199,10 +200,9 @@
 		return nil, tier.At("open stream", string(p.Node), err)
 	}
 	s := newStream(qs, p.Node)
-	if err := s.Send(Head{Kind: kind, From: m.Self}); err != nil {
-		return nil, tier.At("open stream", string(p.Node), err)
-	}
-	return s, nil
+	s.buf, err = frame.Append(nil, Head{Kind: kind, From: m.Self})
+	s.held = len(s.buf)
+	return s, tier.At("open stream", string(p.Node), err)
 }
 
 // Call sends one request and reads one answer. The stream is cancelled when ctx ends.
@@ -355,9 +355,12 @@
 	// Peer is the node at the other end.
 	Peer tier.NodeID
 
-	qs  *quic.Stream
-	in  *countReader
-	buf []byte
+	qs *quic.Stream
+	in *countReader
+	// buf is reused by Send; its first held bytes, the head of a stream just
+	// opened, go out together with the first frame.
+	buf  []byte
+	held int
 }
 
 func newStream(qs *quic.Stream, peer tier.NodeID) *Stream {
@@ -366,11 +369,11 @@
 
 // Send writes one frame.
 func (s *Stream) Send(v any) error {
-	b, err := frame.Append(s.buf[:0], v)
+	b, err := frame.Append(s.buf[:s.held], v)
 	if err != nil {
 		return err
 	}
-	s.buf = b
+	s.buf, s.held = b, 0
 	_, err = s.qs.Write(b)
 	return err
 }
@@ -381,6 +384,13 @@
 // CloseSend tells the peer that nothing more will be sent.
 func (s *Stream) CloseSend() { _ = s.qs.Close() }
 
+// Finish ends a stream on which all has been received that will come: both
+// ends close it, and nothing is cancelled.
+func (s *Stream) Finish() {
+	s.CloseSend()
+	_, _ = io.Copy(io.Discard, s.in)
+}
+
 // Cancel ends the stream in both directions at once.
 func (s *Stream) Cancel() {
 	s.qs.CancelRead(0)
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -335,9 +335,18 @@
 	if err != nil {
 		return false, err
 	}
-	defer s.Cancel()
 	stop := context.AfterFunc(ctx, s.Cancel)
 	defer stop()
+	defer func() {
+		r.mu.Lock()
+		r.stream = nil
+		r.mu.Unlock()
+		if err != nil {
+			s.Cancel()
+			return
+		}
+		s.Finish()
+	}()
 	if err := r.begin(s); err != nil {
 		return true, err
 	}
@@ -399,8 +408,14 @@
 			srv.send(e.Owner.Query(sctx, &b, sub, deadline))
 		})
 	}
-	e.Workers.Go(func() { srv.listen(cancel) })
+	ended := make(chan struct{})
+	e.Workers.Go(func() {
+		defer close(ended)
+		srv.listen(cancel)
+	})
 	wait.Wait()
+	s.CloseSend()
+	<-ended
 }
 
 // served is a batch at its owner.
