--- a/internal/proc/stats/stats.go
+++ b/internal/proc/stats/stats.go
@@ -62,22 +62,23 @@
 	mu   sync.Mutex
 	h    *hdr.WindowedHistogram
 	next time.Duration
-	q    map[int64]time.Duration
-	till time.Duration
+	// merged is the whole window as of less than mergedLife ago.
+	merged *hdr.Histogram
+	till   time.Duration
 }
 
 const (
 	windowParts = 5
 	windowPart  = 2 * time.Second
-	// quantileLife is how long a computed quantile is reused.
-	quantileLife = 100 * time.Millisecond
+	// mergedLife is how long a merged window is reused.
+	mergedLife = 100 * time.Millisecond
 	// windowLeast is the number of samples below which there is no quantile.
 	windowLeast = 20
 )
 
 // NewWindow returns an empty window.
 func NewWindow() *Window {
-	return &Window{h: hdr.NewWindowed(windowParts, lowestUs, highestUs, digits), q: map[int64]time.Duration{}}
+	return &Window{h: hdr.NewWindowed(windowParts, lowestUs, highestUs, digits)}
 }
 
 // Record adds one duration at the time now.
@@ -103,19 +104,13 @@
 func (w *Window) Quantile(now time.Duration, permille int64) (d time.Duration, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if now < w.till {
-		d, ok = w.q[permille]
-		if ok {
-			return d, d > 0
-		}
+	if w.merged == nil || now >= w.till {
+		w.rotate(now)
+		w.merged = w.h.Merge()
+		w.till = now + mergedLife
 	}
-	w.rotate(now)
-	w.till = now + quantileLife
-	clear(w.q)
-	m := w.h.Merge()
-	if m.TotalCount() >= windowLeast {
-		d = time.Duration(m.ValueAtQuantile(float64(permille)/10)) * time.Microsecond
+	if w.merged.TotalCount() < windowLeast {
+		return 0, false
 	}
-	w.q[permille] = d
-	return d, d > 0
+	return time.Duration(w.merged.ValueAtQuantile(float64(permille)/10)) * time.Microsecond, true
 }
