Connections set up ahead: a cancelled request no longer slows the next one

Change: after a cancellation the owner sets up to two connections ahead, within the server's limit; one that the server closed meanwhile is passed over. Hedges are sent after the quantile at which 3/4 of the budget are wanted.

--- a/internal/conn/owner.go
+++ b/internal/conn/owner.go
@@ -291,6 +291,7 @@
 // have lost track of the others.
 func (o *Owner) silent(p *Pool, id tier.RequestID) {
 	p.http.CloseIdleConnections()
+	p.spares.drop(false)
 	o.Silent(p.server.Server, id)
 }
 
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -34,6 +34,7 @@
 	server tier.Announcement
 	clock  tier.Clock
 	http   *http.Transport
+	spares *spares
 	base   string
 
 	mu      sync.Mutex
@@ -48,18 +49,20 @@
 }
 
 func newPool(s tier.Announcement, clock tier.Clock, maxQueue int) *Pool {
+	ahead := &spares{address: s.Address}
 	return &Pool{
+		spares:  ahead,
 		server:  s,
 		clock:   clock,
 		base:    "http://" + s.Address,
 		running: map[*Ticket]bool{},
 		slots:   Slots{Limit: max(1, s.Slots), MaxQueue: maxQueue},
 		http: &http.Transport{
-			MaxConnsPerHost:     max(1, s.Conns),
-			MaxIdleConnsPerHost: max(1, s.Conns),
+			MaxConnsPerHost:     max(1, s.Conns-spareTarget),
+			MaxIdleConnsPerHost: max(1, s.Conns-spareTarget),
 			IdleConnTimeout:     IdleConn,
 			DisableCompression:  true,
-			DialContext:         (&net.Dialer{Timeout: DialTimeout}).DialContext,
+			DialContext:         ahead.dial,
 		},
 	}
 }
@@ -143,9 +146,17 @@
 
 // releaseLater frees the slot of a cancelled request after cancelGrace.
 func (p *Pool) releaseLater(t *Ticket) {
+	p.refill()
 	time.AfterFunc(cancelGrace, func() { p.release(t, false) })
 }
 
+// refill has connections set up ahead where the server's limit leaves room for them.
+func (p *Pool) refill() {
+	if p.server.Conns >= p.server.Slots+spareTarget {
+		p.spares.refill()
+	}
+}
+
 // Busy returns the number of requests that the server is running for this owner.
 func (p *Pool) Busy() int {
 	p.mu.Lock()
@@ -165,6 +176,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.slots.Close(why)
+	p.spares.drop(true)
 }
 
 // answer is what a server gave back.
--- a/internal/reqst/engine.go
+++ b/internal/reqst/engine.go
@@ -208,9 +208,10 @@
 	return t
 }
 
-// hedgeRank returns the quantile, in permille, after which hedges are sent: no
-// lower than what the budget lasts for, so that it goes to the slowest.
-func hedgeRank(rank, budget int64) int64 { return min(max(rank, 1000-budget), 999) }
+// hedgeRank returns the quantile, in permille, after which hedges are sent: one
+// at which three quarters of the budget are wanted, so that it goes to the
+// slowest and is not used up when stragglers come in a row.
+func hedgeRank(rank, budget int64) int64 { return min(max(rank, 1000-3*budget/4), 999) }
 
 // enter admits a request, or says why not and when to come back.
 func (e *Engine) enter(now time.Duration, a tier.Account, s tier.Service, rank int) (tier.Reason, time.Duration) {
