Losers of hedges count in the latency window

Change: a loser counts with the time it had at its cancellation, a hedge does not count; a sub-query may be hedged twice; 50 hedges may be saved up.

--- a/internal/reqst/budget.go
+++ b/internal/reqst/budget.go
@@ -3,7 +3,7 @@
 package reqst
 
 // budgetBurst is the most extra sub-requests that may be saved up.
-const budgetBurst = 20
+const budgetBurst = 50
 
 // Budget limits extra sub-requests to a share of first ones. It is pure and
 // not safe for concurrent use.
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -164,7 +164,7 @@
 	delete(g.sent, r.Attempt)
 	delete(g.cancels, r.Attempt)
 	e := g.engine
-	if r.Fate == conn.FateDone {
+	if r.Fate == conn.FateDone && !g.plan.Hedged(r.Attempt) {
 		e.window(g.query.Service).Record(now, now-sent)
 	}
 	e.mu.Lock()
@@ -236,11 +236,16 @@
 		f()
 		delete(g.cancels, a.Attempt)
 	}
-	if _, open := g.sent[a.Attempt]; !open {
+	sent, open := g.sent[a.Attempt]
+	if !open {
 		return
 	}
 	delete(g.sent, a.Attempt)
 	e := g.engine
+	if a.Cause == CauseBeaten {
+		// Without the losers' times the quantile would fall with every hedge, and ask for more of them.
+		e.window(g.query.Service).Record(now, now-sent)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch a.Cause {
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -9,6 +9,9 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
+// mostHedges bounds the hedges of one sub-query: the first may meet a straggler too.
+const mostHedges = 2
+
 // Terms are the configured values and signals that a plan goes by.
 type Terms struct {
 	// HedgeDelay is the time after which a sub-query may be hedged; 0 is never.
@@ -70,7 +73,7 @@
 	reason  tier.Reason
 	open    int
 	hedgeAt time.Duration
-	hedged  bool
+	hedges  int
 	tried   []tier.ServerID
 	server  tier.ServerID
 	data    json.RawMessage
@@ -377,7 +380,7 @@
 		return next
 	}
 	for i := range p.parts {
-		if pt := &p.parts[i]; !pt.done && !pt.hedged && pt.open > 0 {
+		if pt := &p.parts[i]; !pt.done && pt.hedges < mostHedges && pt.open > 0 {
 			next = min(next, pt.hedgeAt)
 		}
 	}
@@ -423,22 +426,27 @@
 func (p *Plan) hedges(now time.Duration) {
 	for i := range p.parts {
 		pt := &p.parts[i]
-		if pt.done || pt.hedged || pt.open == 0 || now < pt.hedgeAt {
+		if pt.done || pt.hedges >= mostHedges || pt.open == 0 || now < pt.hedgeAt {
 			continue
 		}
 		if len(p.untried(i)) == 0 {
-			pt.hedged = true
+			pt.hedges = mostHedges
 			continue
 		}
+		pt.hedgeAt = now + p.Terms.HedgeDelay
 		if !p.Hedge() {
-			pt.hedgeAt = now + p.Terms.HedgeDelay
 			continue
 		}
-		pt.hedged = true
+		pt.hedges++
 		p.send(now, i, true, false)
 	}
 }
 
+// Hedged reports whether an attempt is a hedge.
+func (p *Plan) Hedged(attempt int) bool {
+	return attempt >= 0 && attempt < len(p.attempts) && p.attempts[attempt].hedge
+}
+
 // Finished reports whether the answer is ready.
 func (p *Plan) Finished() bool { return p.finished }
 
