--- a/internal/proc/quorum/core.go
+++ b/internal/proc/quorum/core.go
@@ -102,9 +102,6 @@
 // LeaderID returns the leader known for the current term, or "".
 func (c *Core) LeaderID() tier.ReplicaID { return c.leader }
 
-// Membership returns the membership in use, committed or not.
-func (c *Core) Membership() Members { return c.members }
-
 // Applied returns the index of the last entry handed out for applying.
 func (c *Core) Applied() tier.Index { return c.applied }
 
@@ -139,16 +136,6 @@
 	return out
 }
 
-func (c *Core) reloadMembers() {
-	c.members, c.memberIdx = c.snapMem, c.log.snapIndex
-	for i := len(c.log.entries) - 1; i >= 0; i-- {
-		if e := c.log.entries[i]; e.Kind == EntryMembers {
-			c.members, c.memberIdx = *e.Members, e.Index
-			return
-		}
-	}
-}
-
 func (c *Core) becomeFollower(now time.Duration, term tier.Term, leader tier.ReplicaID) {
 	if term > c.hard.Term {
 		c.setHard(HardState{Term: term})
@@ -207,79 +194,6 @@
 	}
 }
 
-// quorumHeard reports whether a quorum answered within the least election timeout.
-func (c *Core) quorumHeard(now time.Duration) bool {
-	if now-c.started < c.Election {
-		return true
-	}
-	n := 0
-	for _, id := range c.members.Voters {
-		if id == c.ID || now-c.peers[id].heard < c.Election {
-			n++
-		}
-	}
-	return n >= c.members.Quorum()
-}
-
-func (c *Core) campaign(now time.Duration, as Role) {
-	c.role = as
-	c.leader = ""
-	c.resetTimer(now)
-	c.votes = map[tier.ReplicaID]bool{c.ID: true}
-	kind, term := MsgPreVote, c.hard.Term+1
-	if as == Candidate {
-		c.setHard(HardState{Term: term, Voted: c.ID})
-		kind = MsgVote
-	}
-	if c.countVotes(now) {
-		return
-	}
-	for _, id := range c.members.Voters {
-		if id != c.ID {
-			c.send(Msg{Kind: kind, To: id, Term: term, PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(), Transfer: c.transfer == c.ID})
-		}
-	}
-}
-
-// countVotes moves on to the next role when a quorum has granted.
-func (c *Core) countVotes(now time.Duration) bool {
-	n := 0
-	for _, id := range c.members.Voters {
-		if c.votes[id] {
-			n++
-		}
-	}
-	if n < c.members.Quorum() {
-		return false
-	}
-	if c.role == PreCandidate {
-		c.campaign(now, Candidate)
-	} else {
-		c.becomeLeader(now)
-	}
-	return true
-}
-
-func (c *Core) becomeLeader(now time.Duration) {
-	c.role = Leader
-	c.leader = c.ID
-	c.transfer = ""
-	c.started = now
-	c.round++
-	c.peers = map[tier.ReplicaID]*progress{}
-	c.syncPeers(now)
-	c.appendOwn(Entry{Kind: EntryNoop})
-	c.broadcast(now)
-}
-
-func (c *Core) syncPeers(now time.Duration) {
-	for _, id := range c.members.All() {
-		if c.peers[id] == nil {
-			c.peers[id] = &progress{next: c.log.last() + 1, heard: now}
-		}
-	}
-}
-
 func (c *Core) appendOwn(e Entry) tier.Index {
 	e.Index, e.Term = c.log.last()+1, c.hard.Term
 	c.log.append(e)
@@ -319,48 +233,6 @@
 	}
 }
 
-// ChangeMembers proposes next, which may differ from the membership in use by
-// one voter or by learners only.
-func (c *Core) ChangeMembers(now time.Duration, next Members) (tier.Index, error) {
-	if !c.Serving() || c.transfer != "" {
-		return 0, tier.ErrNotLeader
-	}
-	if c.memberIdx > c.commit {
-		return 0, ErrBusyMembers
-	}
-	added, removed := voterDiff(c.members, next)
-	if len(added)+len(removed) > 1 || len(next.Voters) == 0 {
-		return 0, errors.New("one voter may change at a time")
-	}
-	for _, id := range added {
-		p := c.peers[id]
-		behind := p == nil || p.match < c.commit || now-p.heard >= c.Election
-		if behind && !c.Unsafe.EarlyLearner {
-			return 0, ErrNotCaughtUp
-		}
-	}
-	e := Entry{Kind: EntryMembers, Members: &next}
-	i := c.appendOwn(e)
-	c.members, c.memberIdx = next, i
-	c.syncPeers(now)
-	c.broadcast(now)
-	return i, nil
-}
-
-func voterDiff(old, next Members) (added, removed []tier.ReplicaID) {
-	for _, id := range next.Voters {
-		if !old.IsVoter(id) {
-			added = append(added, id)
-		}
-	}
-	for _, id := range old.Voters {
-		if !next.IsVoter(id) {
-			removed = append(removed, id)
-		}
-	}
-	return added, removed
-}
-
 // Read asks for confirmation that this replica still leads; the answer comes as a ReadDone.
 func (c *Core) Read(now time.Duration, id uint64) error {
 	if !c.Serving() {
@@ -373,27 +245,6 @@
 	return nil
 }
 
-// Hand asks the most advanced voter to take over leadership at once.
-func (c *Core) Hand(now time.Duration) {
-	if c.role != Leader {
-		return
-	}
-	var best tier.ReplicaID
-	for _, id := range c.members.Voters {
-		if id == c.ID || now-c.peers[id].heard >= c.Election {
-			continue
-		}
-		if best == "" || c.peers[id].match > c.peers[best].match {
-			best = id
-		}
-	}
-	if best == "" || c.peers[best].match < c.log.last() {
-		return
-	}
-	c.transfer = best
-	c.send(Msg{Kind: MsgTimeoutNow, To: best})
-}
-
 // Compact tells the core that a snapshot up to i is durable.
 func (c *Core) Compact(i tier.Index) {
 	if i > c.applied {
@@ -403,20 +254,6 @@
 	c.log.compact(i)
 }
 
-// MembersAt returns the membership as of index i, which must not be compacted.
-func (c *Core) MembersAt(i tier.Index) Members {
-	m := c.snapMem
-	for _, e := range c.log.entries {
-		if e.Index > i {
-			break
-		}
-		if e.Kind == EntryMembers {
-			m = *e.Members
-		}
-	}
-	return m
-}
-
 func (c *Core) broadcast(now time.Duration) {
 	c.beat = now
 	for _, id := range c.members.All() {
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -9,9 +9,6 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
-// mostHedges bounds the hedges of one sub-query: the first may meet a straggler too.
-const mostHedges = 2
-
 // Terms are the configured values and signals that a plan goes by.
 type Terms struct {
 	// HedgeDelay is the time after which a sub-query may be hedged; 0 is never.
@@ -290,57 +287,6 @@
 	return false
 }
 
-// died holds a shard whose server died: the query may be what killed it.
-func (p *Plan) died(now time.Duration, shard int) {
-	p.deaths++
-	if p.deaths > 1 || p.canary == shard || len(p.parts) == 1 {
-		p.giveUp(tier.ReasonQuarantine)
-		return
-	}
-	p.parts[shard].held = true
-	p.retryHeld(now)
-}
-
-// retryHeld retries the shard of the only death once all other shards have
-// answered: a query that ten other servers survived did not kill that one.
-func (p *Plan) retryHeld(now time.Duration) {
-	if p.deaths != 1 || p.finished {
-		return
-	}
-	held := -1
-	for i := range p.parts {
-		pt := &p.parts[i]
-		switch {
-		case pt.held && !pt.done:
-			held = i
-		case !pt.done && !pt.missing:
-			return
-		}
-	}
-	if held < 0 {
-		return
-	}
-	p.parts[held].held = false
-	p.deaths = 0
-	p.acts = append(p.acts, Action{Kind: ActClear})
-	if p.parts[held].open > 0 {
-		return
-	}
-	if !p.send(now, held, false, false) {
-		p.miss(held, tier.ReasonLost)
-	}
-}
-
-// giveUp ends the query at once.
-func (p *Plan) giveUp(why tier.Reason) {
-	for i := range p.parts {
-		if !p.parts[i].done && !p.parts[i].missing {
-			p.cancelOthers(i, false)
-			p.miss(i, why)
-		}
-	}
-}
-
 func (p *Plan) miss(shard int, why tier.Reason) {
 	pt := &p.parts[shard]
 	if pt.missing || pt.done {
@@ -368,80 +314,6 @@
 	}
 }
 
-// Next returns when Tick must be called next.
-func (p *Plan) Next() time.Duration {
-	next := p.Terms.Deadline
-	for i := range p.attempts {
-		if a := &p.attempts[i]; a.open {
-			next = min(next, a.sent+p.Terms.Timeout)
-		}
-	}
-	if !p.mayHedge() {
-		return next
-	}
-	for i := range p.parts {
-		if pt := &p.parts[i]; !pt.done && pt.hedges < mostHedges && pt.open > 0 {
-			next = min(next, pt.hedgeAt)
-		}
-	}
-	return next
-}
-
-func (p *Plan) mayHedge() bool {
-	return p.Terms.HedgeDelay > 0 && p.deaths == 0 && p.canary < 0 && !p.overload
-}
-
-// Tick hedges slow sub-queries, gives up silent ones and keeps the deadline.
-func (p *Plan) Tick(now time.Duration) []Action {
-	if p.finished {
-		return nil
-	}
-	if now >= p.Terms.Deadline {
-		p.giveUp(tier.ReasonDeadline)
-		p.settle()
-		return p.take()
-	}
-	p.timeouts(now)
-	if p.mayHedge() {
-		p.hedges(now)
-	}
-	p.settle()
-	return p.take()
-}
-
-func (p *Plan) timeouts(now time.Duration) {
-	for i := range p.attempts {
-		a := &p.attempts[i]
-		if !a.open || now < a.sent+p.Terms.Timeout {
-			continue
-		}
-		a.open = false
-		p.ran = true
-		p.parts[a.shard].open--
-		p.acts = append(p.acts, Action{Kind: ActCancel, Attempt: i, Shard: tier.Shard(a.shard), Server: a.server, Cause: CauseSilent})
-		p.lost(now, a.shard, conn.Reply{Reason: tier.ReasonLost})
-	}
-}
-
-func (p *Plan) hedges(now time.Duration) {
-	for i := range p.parts {
-		pt := &p.parts[i]
-		if pt.done || pt.hedges >= mostHedges || pt.open == 0 || now < pt.hedgeAt {
-			continue
-		}
-		if len(p.untried(i)) == 0 {
-			pt.hedges = mostHedges
-			continue
-		}
-		pt.hedgeAt = now + p.Terms.HedgeDelay
-		if !p.Hedge() {
-			continue
-		}
-		pt.hedges++
-		p.send(now, i, true, false)
-	}
-}
-
 // Hedged reports whether an attempt is a hedge.
 func (p *Plan) Hedged(attempt int) bool {
 	return attempt >= 0 && attempt < len(p.attempts) && p.attempts[attempt].hedge
@@ -456,9 +328,6 @@
 // Queued returns the longest time that a part waited at an owner.
 func (p *Plan) Queued() time.Duration { return p.queued }
 
-// Deaths reports whether the query was given up because servers died.
-func (p *Plan) Deaths() bool { return p.deaths > 0 }
-
 // Stale reports whether nothing but vanished holdings keeps the answer from being complete.
 func (p *Plan) Stale() bool {
 	stale := false
--- a/internal/reqst/plan_test.go
+++ b/internal/reqst/plan_test.go
@@ -131,8 +131,10 @@
 			l := layoutOf(shards)
 			b.ReportAllocs()
 			for b.Loop() {
-				p := &Plan{Layout: l, Terms: Terms{HedgeDelay: time.Second, Timeout: time.Second, Deadline: time.Second},
-					Select: func(time.Duration, tier.Shard, []tier.Candidate) int { return 0 }}
+				p := &Plan{
+					Layout: l, Terms: Terms{HedgeDelay: time.Second, Timeout: time.Second, Deadline: time.Second},
+					Select: func(time.Duration, tier.Shard, []tier.Candidate) int { return 0 },
+				}
 				p.Start(0)
 				for i := range n {
 					p.Reply(1, conn.Reply{Attempt: i, Shard: tier.Shard(i), Server: "a", Fate: conn.FateDone, Snapshot: l.Snapshot})
--- /dev/null
+++ b/internal/reqst/timing.go
@@ -0,0 +1,85 @@
+package reqst
+
+import (
+	"time"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// mostHedges bounds the hedges of one sub-query: the first may meet a straggler too.
+const mostHedges = 2
+
+// Next returns when Tick must be called next.
+func (p *Plan) Next() time.Duration {
+	next := p.Terms.Deadline
+	for i := range p.attempts {
+		if a := &p.attempts[i]; a.open {
+			next = min(next, a.sent+p.Terms.Timeout)
+		}
+	}
+	if !p.mayHedge() {
+		return next
+	}
+	for i := range p.parts {
+		if pt := &p.parts[i]; !pt.done && pt.hedges < mostHedges && pt.open > 0 {
+			next = min(next, pt.hedgeAt)
+		}
+	}
+	return next
+}
+
+func (p *Plan) mayHedge() bool {
+	return p.Terms.HedgeDelay > 0 && p.deaths == 0 && p.canary < 0 && !p.overload
+}
+
+// Tick hedges slow sub-queries, gives up silent ones and keeps the deadline.
+func (p *Plan) Tick(now time.Duration) []Action {
+	if p.finished {
+		return nil
+	}
+	if now >= p.Terms.Deadline {
+		p.giveUp(tier.ReasonDeadline)
+		p.settle()
+		return p.take()
+	}
+	p.timeouts(now)
+	if p.mayHedge() {
+		p.hedges(now)
+	}
+	p.settle()
+	return p.take()
+}
+
+func (p *Plan) timeouts(now time.Duration) {
+	for i := range p.attempts {
+		a := &p.attempts[i]
+		if !a.open || now < a.sent+p.Terms.Timeout {
+			continue
+		}
+		a.open = false
+		p.ran = true
+		p.parts[a.shard].open--
+		p.acts = append(p.acts, Action{Kind: ActCancel, Attempt: i, Shard: tier.Shard(a.shard), Server: a.server, Cause: CauseSilent})
+		p.lost(now, a.shard, conn.Reply{Reason: tier.ReasonLost})
+	}
+}
+
+func (p *Plan) hedges(now time.Duration) {
+	for i := range p.parts {
+		pt := &p.parts[i]
+		if pt.done || pt.hedges >= mostHedges || pt.open == 0 || now < pt.hedgeAt {
+			continue
+		}
+		if len(p.untried(i)) == 0 {
+			pt.hedges = mostHedges
+			continue
+		}
+		pt.hedgeAt = now + p.Terms.HedgeDelay
+		if !p.Hedge() {
+			continue
+		}
+		pt.hedges++
+		p.send(now, i, true, false)
+	}
+}
