--- a/internal/cmdln/config.go
+++ b/internal/cmdln/config.go
@@ -62,9 +62,7 @@
 	return &cobra.Command{
 		Use: "get", Short: "Print all defaults and exceptions", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			ctx, cancel := o.context()
-			defer cancel()
-			c, err := o.getConfig(ctx)
+			c, err := o.readConfig()
 			if err != nil {
 				return err
 			}
@@ -73,6 +71,13 @@
 	}
 }
 
+// readConfig reads the newest accepted configuration within the command's time.
+func (o *options) readConfig() (*vers.Config, error) {
+	ctx, cancel := o.context()
+	defer cancel()
+	return o.getConfig(ctx)
+}
+
 func (o *options) printConfig(c *vers.Config) error {
 	_, _ = fmt.Fprintf(o.out, "version %d\n\n", c.Version)
 	t := o.table("KEY", "DEFAULT", "UNIT", "MEANING")
--- a/internal/cmdln/exception.go
+++ b/internal/cmdln/exception.go
@@ -66,9 +66,7 @@
 	return &cobra.Command{
 		Use: "list", Short: "List the exceptions with their reasons", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			ctx, cancel := o.context()
-			defer cancel()
-			c, err := o.getConfig(ctx)
+			c, err := o.readConfig()
 			if err != nil {
 				return err
 			}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -17,9 +17,12 @@
 	beatEvery = time.Second
 	// kickGap is the least time between two messages to the leader.
 	kickGap = 50 * time.Millisecond
-	// beatSilence is how long the leader may leave a heartbeat unanswered
-	// before another control host is asked; beatCheck is how often this is looked at.
-	beatSilence = 800 * time.Millisecond
+	// joinSilence and beatSilence are how long the leader may leave the first
+	// message and a heartbeat unanswered before another control host is asked;
+	// beatCheck is how often this is looked at. A subscription costs the leader
+	// more than a heartbeat, so that a busy one must not be left for nothing.
+	joinSilence = 2500 * time.Millisecond
+	beatSilence = 1200 * time.Millisecond
 	beatCheck   = 100 * time.Millisecond
 	// joinTimeout bounds the opening of a subscription.
 	joinTimeout = 600 * time.Millisecond
@@ -97,7 +100,7 @@
 	check := time.NewTicker(beatCheck)
 	defer check.Stop()
 	asked := n.Clock.Now()
-	waiting := true
+	waiting, silence := true, joinSilence
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,7 +110,7 @@
 				n.notLeader(p, d)
 				return
 			}
-			waiting = false
+			waiting, silence = false, beatSilence
 			n.leader.learn(p.Node)
 			if !n.takeAll(d, downs) {
 				return
@@ -120,7 +123,7 @@
 				return
 			}
 		case <-check.C:
-			if waiting && n.Clock.Now()-asked > beatSilence {
+			if waiting && n.Clock.Now()-asked > silence {
 				n.leader.failed(p.Node)
 				n.mesh.Drop(p.Node)
 				return
--- a/internal/proc/admit/admit.go
+++ b/internal/proc/admit/admit.go
@@ -33,12 +33,12 @@
 
 // service is the state of one service.
 type service struct {
-	limit   float64
-	open    int
-	byOwner map[tier.Account]int
-	cutAt   time.Duration
-	refused int
-	mean    time.Duration
+	limit     float64
+	open      int
+	byAccount map[tier.Account]int
+	cutAt     time.Duration
+	refused   int
+	mean      time.Duration
 }
 
 // bucket limits one account's rate.
@@ -65,7 +65,7 @@
 func (g *Gate) service(name tier.Service) *service {
 	s := g.services[name]
 	if s == nil {
-		s = &service{limit: firstLimit, byOwner: map[tier.Account]int{}}
+		s = &service{limit: firstLimit, byAccount: map[tier.Account]int{}}
 		g.services[name] = s
 	}
 	return s
@@ -82,7 +82,7 @@
 		return tier.ReasonOverload, s.retryAfter()
 	}
 	s.open++
-	s.byOwner[a]++
+	s.byAccount[a]++
 	return tier.ReasonNone, 0
 }
 
@@ -101,11 +101,11 @@
 	if float64(s.open) < s.limit*fairFrom/100 {
 		return true
 	}
-	accounts := len(s.byOwner)
-	if s.byOwner[a] == 0 {
+	accounts := len(s.byAccount)
+	if s.byAccount[a] == 0 {
 		accounts++
 	}
-	return float64(s.byOwner[a]) < s.limit/float64(accounts)
+	return float64(s.byAccount[a]) < s.limit/float64(accounts)
 }
 
 // retryAfter grows with the requests refused since the last one that ended.
@@ -141,8 +141,8 @@
 	s := g.service(name)
 	busy := float64(s.open) > s.limit*fairFrom/100
 	s.open--
-	if s.byOwner[a]--; s.byOwner[a] <= 0 {
-		delete(s.byOwner, a)
+	if s.byAccount[a]--; s.byAccount[a] <= 0 {
+		delete(s.byAccount, a)
 	}
 	s.refused = 0
 	s.mean += (took - s.mean) / 8
--- a/internal/reqst/engine.go
+++ b/internal/reqst/engine.go
@@ -121,8 +121,8 @@
 	return tier.RequestID(string(e.Self) + "-" + strconv.FormatUint(uint64(e.Instance), 36) + "-" + strconv.FormatUint(n, 36))
 }
 
-// Print returns the fingerprint of a request's content.
-func Print(s tier.Service, body []byte) tier.Fingerprint {
+// Fingerprint returns the fingerprint of a request's content.
+func Fingerprint(s tier.Service, body []byte) tier.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(string(s))
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -35,7 +35,7 @@
 }
 
 func (e *Engine) query(ctx context.Context, now time.Duration, id tier.RequestID, a tier.Account, q tier.QueryRequest) tier.QueryAnswer {
-	finger := Print(q.Service, q.Body)
+	finger := Fingerprint(q.Service, q.Body)
 	hold, suspect := e.quarantined(finger)
 	if hold > 0 {
 		event.RequestPoisonous.Log(e.Log, nil, logrus.Fields{"account": a, "service": q.Service, "fingerprint": finger})
--- a/internal/reqst/write.go
+++ b/internal/reqst/write.go
@@ -47,7 +47,7 @@
 
 func (e *Engine) write(ctx context.Context, now time.Duration, id tier.RequestID, a tier.Account, w tier.WriteRequest) tier.WriteAnswer {
 	r := &runner{
-		engine: e, id: id, write: w, print: Print(w.Service, w.Body),
+		engine: e, id: id, write: w, print: Fingerprint(w.Service, w.Body),
 		key:      store.WriteKey{Account: a, Service: w.Service, Key: w.Key},
 		claim:    tier.ClaimID(id),
 		deadline: now + e.deadline(w.DeadlineMs, w.Service, a),
