--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -313,7 +313,7 @@
 		if due >= d || ctx.Err() != nil {
 			break
 		}
-		body := fmt.Appendf(nil, `{"n":%d,"id":"%x"}`, n, rnd.Uint64())
+		body := fmt.Appendf(nil, `{"run":%d,"n":%d,"id":"%x"}`, start.UnixNano(), n, rnd.Uint64())
 		again := s.Write && rnd.Float64() < s.ResendShare
 		time.Sleep(time.Until(start.Add(due)))
 		at := due
