--- a/internal/conn/spare.go
+++ b/internal/conn/spare.go
@@ -71,7 +71,7 @@
 }
 
 func (s *spares) add() {
-	c, err := net.DialTimeout("tcp", s.address, DialTimeout)
+	c, err := (&net.Dialer{Timeout: DialTimeout}).DialContext(context.Background(), "tcp", s.address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dialing--
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -48,15 +48,19 @@
 	}
 }
 
-// untilDrained returns when a drain has ended.
+// untilDrained returns when a drain has ended: the node serves on for as long
+// as callers may hold an old list of entries, then takes nothing new, finishes
+// what is in flight here and on its servers, and leaves.
 func (n *Node) untilDrained(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-n.drained:
 	}
-	n.linger(ctx)
+	until := n.Clock.Now() + n.fleet.Config().Millis(vers.KeyEntriesTTL)
+	n.await(ctx, func() bool { return n.Clock.Now() >= until })
 	n.web.shutdown(ctx)
+	n.await(ctx, func() bool { return n.engine.Open() == 0 && n.owner.Busy() == 0 })
 	n.leave(ctx)
 	if n.replica != nil {
 		hctx, cancel := context.WithTimeout(ctx, leaveTimeout)
@@ -73,27 +77,17 @@
 	n.poke()
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	t := time.NewTicker(drainPoll)
-	defer t.Stop()
-	for {
-		if _, member := n.fleet.Table().Nodes[n.Settings.Node]; !member {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	n.await(ctx, func() bool {
+		_, member := n.fleet.Table().Nodes[n.Settings.Node]
+		return !member
+	})
 }
 
-// linger serves on for as long as callers may hold an old list of entries,
-// and then until nothing is in flight.
-func (n *Node) linger(ctx context.Context) {
+// await polls until done returns true or ctx ends.
+func (n *Node) await(ctx context.Context, done func() bool) {
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
-	until := n.Clock.Now() + n.fleet.Config().Millis(vers.KeyEntriesTTL)
-	for n.Clock.Now() < until || n.engine.Open() > 0 || n.owner.Busy() > 0 {
+	for !done() {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -24,6 +25,8 @@
 	server   *http.Server
 	listener net.Listener
 	tls      bool
+	closing  chan struct{}
+	once     sync.Once
 }
 
 // listen opens the address for callers, servers and operators.
@@ -40,7 +43,7 @@
 		ReadTimeout:       s.Limits.ReadMs.Duration(),
 		IdleTimeout:       idleCaller,
 	}
-	n.web = &web{server: srv, listener: netutil.LimitListener(l, s.Limits.Connections)}
+	n.web = &web{server: srv, listener: netutil.LimitListener(l, s.Limits.Connections), closing: make(chan struct{})}
 	return n.callerTLS()
 }
 
@@ -58,6 +61,8 @@
 	return nil
 }
 
+// serve returns after close, or when the listener fails. A shutdown alone does
+// not end it, since requests may still be under way then.
 func (w *web) serve() error {
 	var err error
 	if w.tls {
@@ -66,6 +71,7 @@
 		err = w.server.Serve(w.listener)
 	}
 	if errors.Is(err, http.ErrServerClosed) {
+		<-w.closing
 		return nil
 	}
 	return err
@@ -74,7 +80,10 @@
 // shutdown stops accepting and waits for the requests under way.
 func (w *web) shutdown(ctx context.Context) { _ = w.server.Shutdown(ctx) }
 
-func (w *web) close() { _ = w.server.Close() }
+func (w *web) close() {
+	w.once.Do(func() { close(w.closing) })
+	_ = w.server.Close()
+}
 
 func (n *Node) routes() http.Handler {
 	e := echo.New()
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -283,8 +283,9 @@
 	switch r.Reason {
 	case tier.ReasonDraining, tier.ReasonNoOwner, tier.ReasonVersion, tier.ReasonLost:
 		return r.Fate == conn.FateNotRun
+	default:
+		return false
 	}
-	return false
 }
 
 func (p *Plan) miss(shard int, why tier.Reason) {
--- a/internal/system/load_test.go
+++ b/internal/system/load_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sassafrasring.dev/sassafrasring/internal/stand"
+	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/client"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -273,3 +274,49 @@
 	})
 	tr.end()
 }
+
+// TestDrainFinishesWhatIsInFlight stops an entry while a query is under way
+// that takes longer than callers may keep the entry's address.
+func TestDrainFinishesWhatIsInFlight(t *testing.T) {
+	s := search("fitter-app", 1)
+	s.WorkMs = 6000
+	f := newFleet(t, shape{nodes: 3, services: []stand.Service{s}})
+	var edits []vers.Edit
+	for _, d := range []vers.Default{{Key: vers.KeyDeadline, Value: 60000}, {Key: vers.KeySilence, Value: 60000}, {Key: vers.KeyHedgeBudget, Value: 0}, {Key: vers.KeyEntriesTTL, Value: 500}} {
+		edits = append(edits, vers.Edit{Set: &d})
+	}
+	ch := vers.Change{ID: "slow", Reason: "test", Edits: edits}
+	require.NoError(t, f.ops().Ops(f.context(), http.MethodPost, "/v1/ops/config", ch, nil))
+	f.awaitVersion(1, f.nodes...)
+	answer := make(chan tier.QueryAnswer, 1)
+	go func() { answer <- f.query(f.nodes[1], `{"x":1}`) }()
+	f.await("the query to be running", func() bool { return f.counters().Total.Received > 0 })
+	f.terminate(f.nodes[1])
+	a := <-answer
+	require.Equal(t, tier.Done, a.Outcome, "%s", a.Reason)
+	require.Zero(t, f.counters().Total.Cancelled)
+}
+
+// TestDrainEndsUnderCallersThatStay stops an entry whose callers go on using
+// its address although they were told to turn elsewhere.
+func TestDrainEndsUnderCallersThatStay(t *testing.T) {
+	f := newFleet(t, shape{nodes: 3, services: []stand.Service{search("fitter-app", 2)}})
+	stay := f.nodes[1]
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	for range 4 * callers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			c := f.as("desk", stay)
+			for ctx.Err() == nil {
+				var a tier.QueryAnswer
+				_ = c.Do(ctx, stay.callers, http.MethodPost, "/v1/query", tier.QueryRequest{Service: "fitter-app", Body: json.RawMessage(`1`)}, &a)
+			}
+		}()
+	}
+	f.await("load on the entry", func() bool { return f.counters().Total.Received > 100 })
+	f.terminate(stay)
+	cancel()
+	wait.Wait()
+}
