Dead code out: frame.Write and a switch that no test used

frame.Write had no caller since streams append their frames to a reused buffer; Unsafe.AnyTermCommit was never set (the model's OLDTERM variant shows what the rule prevents). No behaviour changes.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -54,16 +54,6 @@
 	return append(buf, p...), nil
 }
 
-// Write writes v as one frame with a single call of w.Write.
-func Write(w io.Writer, v any) error {
-	b, err := Append(nil, v)
-	if err != nil {
-		return err
-	}
-	_, err = w.Write(b)
-	return err
-}
-
 // Read reads one frame into v. It returns io.EOF only at a frame boundary.
 func Read(r io.Reader, v any) error {
 	var h [headerBytes]byte
--- a/internal/proc/quorum/core.go
+++ b/internal/proc/quorum/core.go
@@ -78,8 +78,6 @@
 	EarlyLearner bool
 	// NoCheckQuorum lets a leader go on without hearing from a quorum.
 	NoCheckQuorum bool
-	// AnyTermCommit commits entries of former terms by counting replicas.
-	AnyTermCommit bool
 }
 
 // Start sets the replica's durable state as read from disk.
@@ -286,7 +284,7 @@
 	if i <= c.commit {
 		return
 	}
-	if t, _ := c.log.term(i); t != c.hard.Term && !c.Unsafe.AnyTermCommit {
+	if t, _ := c.log.term(i); t != c.hard.Term {
 		return
 	}
 	c.setCommit(i)
