Tests take ports that outgoing connections never use

Ports were sought in ranges of 100 within those that the kernel gives to outgoing connections; a closed connection keeps its port for a minute also against listeners, and after the load tests every range held one (11,690 closed connections counted after a run here). The clean-up then waited for a stand-in that had never been started. Change: ports below 32768, from one table per test process; the stand-in's end is awaited only once it has been started. Ruled out: open files (limit 20,000, far fewer in use); leaked connections of the entries (they are closed, not open). Conclusion: the failure was the tests', not the product's.

--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -90,39 +89,6 @@
 	return stand.Service{Name: "dispatch-desk", Groups: servers, Replicas: 1, Slots: 4, Connections: 130, NewConnMs: 1, WorkMs: 2, Write: true, Zones: zones}
 }
 
-func free(t *testing.T, network string) string {
-	t.Helper()
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// freeRange returns the first of n ports in a row that are free.
-func freeRange(t *testing.T, n int) int {
-	t.Helper()
-	for base := 30000 + os.Getpid()%200*100; base < 60000; base += n {
-		ok := true
-		for p := base; p < base+n && ok; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-			if ok = err == nil; ok {
-				_ = l.Close()
-			}
-		}
-		if ok {
-			return base
-		}
-	}
-	require.Fail(t, "no free ports")
-	return 0
-}
-
 // newFleet starts nodes and servers and waits until every node knows all of them.
 func newFleet(t *testing.T, s shape) *fleet {
 	t.Helper()
@@ -132,8 +98,8 @@
 	var peers, callers []string
 	for i := range s.nodes {
 		require.NoError(t, m.Node(fmt.Sprintf("n%d", i), nil))
-		peers = append(peers, free(t, "udp"))
-		callers = append(callers, free(t, "tcp"))
+		peers = append(peers, freeAddr(t))
+		callers = append(callers, freeAddr(t))
 	}
 	for i := range s.nodes {
 		f.nodes = append(f.nodes, f.write(i, peers, callers[i]))
@@ -207,12 +173,12 @@
 	if len(s.services) == 0 {
 		return
 	}
-	f.admin = free(f.t, "tcp")
-	ctx, cancel := context.WithCancel(context.Background())
-	f.stop, f.done = cancel, make(chan error, 1)
+	f.admin = freeAddr(f.t)
 	st := &stand.Stand{Spec: stand.Spec{
-		Admin: f.admin, Entries: callers, Token: token, Host: "127.0.0.1", BasePort: freeRange(f.t, 100), Seed: 1, LeaseMs: 2000, Services: s.services,
+		Admin: f.admin, Entries: callers, Token: token, Host: "127.0.0.1", BasePort: freePorts(f.t, 100), Seed: 1, LeaseMs: 2000, Services: s.services,
 	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop, f.done = cancel, make(chan error, 1)
 	go func() { f.done <- st.Run(ctx) }()
 }
 
