A backup can be restored into a new control group

Change: control restore founds a group of one from a backup in an empty folder, with a new identity. Ruled out: the old identities (a stale disk would be believed), the operator naming a version (may not be known to anybody), restoring without claims (a resend would run twice).

--- a/internal/cmdln/fleet.go
+++ b/internal/cmdln/fleet.go
@@ -150,7 +150,7 @@
 		},
 	}
 	cmd.AddCommand(show, controlOrder(o, "add", "Add the control host of that node, first as a learner"),
-		controlOrder(o, "remove", "Remove the control host of that node"), controlHand(o), controlBackup(o))
+		controlOrder(o, "remove", "Remove the control host of that node"), controlHand(o), controlBackup(o), controlRestore(o))
 	return cmd
 }
 
--- a/internal/proc/store/claim.go
+++ b/internal/proc/store/claim.go
@@ -31,6 +31,9 @@
 type claimTable struct {
 	byKey map[WriteKey]*Entry
 	marks map[markID]int64
+	// lostMs is when the state was restored from a backup, 0 if it never was:
+	// claims made between the backup and then are not known.
+	lostMs int64
 }
 
 func newClaimTable() claimTable {
@@ -70,6 +73,9 @@
 	if _, used := t.marks[markOf(c.Key)]; used {
 		return ClaimResult{Status: ClaimExpired}
 	}
+	if t.lostMs != 0 && !c.First {
+		return ClaimResult{Status: ClaimExpired}
+	}
 	t.byKey[c.Key] = &Entry{Claim: c, AtMs: nowMs}
 	return ClaimResult{Status: ClaimGranted}
 }
@@ -107,6 +113,9 @@
 			delete(t.marks, id)
 		}
 	}
+	if nowMs-t.lostMs >= markFor {
+		t.lostMs = 0
+	}
 }
 
 func (t *claimTable) list() ([]Entry, []mark) {
@@ -123,7 +132,8 @@
 	return es, ms
 }
 
-func (t *claimTable) load(es []Entry, ms []mark) {
+func (t *claimTable) load(es []Entry, ms []mark, lostMs int64) {
+	t.lostMs = lostMs
 	for i := range es {
 		t.byKey[es[i].Claim.Key] = &es[i]
 	}
--- a/internal/proc/store/command.go
+++ b/internal/proc/store/command.go
@@ -29,13 +29,15 @@
 	Key     string       `cbor:"3,keyasint"`
 }
 
-// Claim asks for the sole right to run a write.
+// Claim asks for the sole right to run a write. First is the caller's word
+// that no request with the key was sent before.
 type Claim struct {
 	ID          tier.ClaimID     `cbor:"1,keyasint"`
 	Key         WriteKey         `cbor:"2,keyasint"`
 	Fingerprint tier.Fingerprint `cbor:"3,keyasint"`
 	Holder      tier.NodeID      `cbor:"4,keyasint"`
 	Instance    tier.Instance    `cbor:"5,keyasint"`
+	First       bool             `cbor:"6,keyasint,omitempty"`
 }
 
 // Record stores the outcome of the attempt ID.
--- a/internal/proc/store/store.go
+++ b/internal/proc/store/store.go
@@ -195,11 +195,12 @@
 	Marks   []mark       `cbor:"5,keyasint"`
 	Poison  []Suspect    `cbor:"6,keyasint"`
 	Deaths  []death      `cbor:"7,keyasint"`
+	LostMs  int64        `cbor:"8,keyasint,omitempty"`
 }
 
 // Save encodes the state.
 func (s *Store) Save() ([]byte, error) {
-	v := saved{Config: s.config, History: s.history, Changes: s.changes}
+	v := saved{Config: s.config, History: s.history, Changes: s.changes, LostMs: s.claims.lostMs}
 	v.Claims, v.Marks = s.claims.list()
 	v.Poison, v.Deaths = s.poison.list(), s.poison.deaths
 	return frame.Marshal(v)
@@ -217,7 +218,7 @@
 	s := New()
 	s.config, s.history, s.changes = v.Config, v.History, v.Changes
 	s.index()
-	s.claims.load(v.Claims, v.Marks)
+	s.claims.load(v.Claims, v.Marks, v.LostMs)
 	s.poison.load(v.Poison, v.Deaths)
 	return s, nil
 }
--- a/internal/reqst/write.go
+++ b/internal/reqst/write.go
@@ -139,7 +139,7 @@
 	e := r.engine
 	ctx, cancel := context.WithTimeout(ctx, r.deadline-e.Clock.Now())
 	defer cancel()
-	c := &store.Claim{ID: r.claim, Key: r.key, Fingerprint: r.print, Holder: e.Self, Instance: e.Instance}
+	c := &store.Claim{ID: r.claim, Key: r.key, Fingerprint: r.print, Holder: e.Self, Instance: e.Instance, First: r.write.FirstSend}
 	res, err := e.Propose.Propose(ctx, store.Command{Claim: c})
 	if err != nil {
 		return store.ClaimResult{}, err
