A dead control leader is passed over for 2 s

Cause: found by killing the leader 0 to 17 ms after the start of a write: followers go on naming a dead leader until their own timers fire, and every time a node followed the hint it waited 1 s for an answer. A vote on a stream that had broken meanwhile was lost and cost another election timeout. Change: a host that failed is not asked again for 2 s, whoever names it; a message on a broken one-way stream is sent again on a new one. Log lines carry milliseconds. Ruled out: the hub's grace of 4 s (proposals do not wait for it). Elections of up to 2 s remain possible; then a resend is told "unknown" and when to come back.

--- a/internal/cmdln/serve.go
+++ b/internal/cmdln/serve.go
@@ -16,6 +16,9 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
+// logTime is RFC 3339 with milliseconds.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 func serveCommand(o *options) *cobra.Command {
 	var path, profile string
 	cmd := &cobra.Command{
@@ -89,8 +92,9 @@
 		return nil, err
 	}
 	log.SetLevel(level)
+	log.SetFormatter(&logrus.TextFormatter{TimestampFormat: logTime, FullTimestamp: true})
 	if l.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
 	}
 	return log, nil
 }
--- a/internal/conn/sender.go
+++ b/internal/conn/sender.go
@@ -77,10 +77,11 @@
 			}
 			return
 		case b := <-q:
-			if st == nil {
-				st = s.open(ctx, to)
+			if st != nil && st.Send(payload{b}) == nil {
+				continue
 			}
-			if st == nil {
+			// A stream that broke while nothing was sent must not cost a vote.
+			if st = s.reopen(ctx, to, st); st == nil {
 				s.pause(ctx, q)
 				continue
 			}
@@ -109,6 +110,14 @@
 	}
 }
 
+// reopen opens a new stream in place of one that broke, if any.
+func (s *Sender) reopen(ctx context.Context, to tier.NodeID, broken *Stream) *Stream {
+	if broken != nil {
+		broken.Cancel()
+	}
+	return s.open(ctx, to)
+}
+
 func (s *Sender) open(ctx context.Context, to tier.NodeID) *Stream {
 	p, ok := s.Resolve(to)
 	if !ok {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -59,7 +59,7 @@
 	s, err := n.mesh.Open(octx, p, conn.KindWatch)
 	stop()
 	if err != nil {
-		n.leader.failed(p.Node)
+		n.leader.failed(ctx, p.Node)
 		return
 	}
 	defer s.Cancel()
@@ -111,7 +111,7 @@
 				return
 			}
 			waiting, silence = false, beatSilence
-			n.leader.learn(p.Node)
+			n.leader.found(p.Node)
 			if !n.takeAll(d, downs) {
 				return
 			}
@@ -124,7 +124,7 @@
 			}
 		case <-check.C:
 			if waiting && n.Clock.Now()-asked > silence {
-				n.leader.failed(p.Node)
+				n.leader.failed(ctx, p.Node)
 				n.mesh.Drop(p.Node)
 				return
 			}
@@ -142,7 +142,7 @@
 		n.leader.learn(d.Leader)
 		return
 	}
-	n.leader.failed(p.Node)
+	n.leader.forget(p.Node)
 }
 
 // gap spaces messages that are sent for news.
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -16,6 +16,9 @@
 const (
 	// tryTimeout bounds one attempt to reach the leader.
 	tryTimeout = time.Second
+	// shunFor is how long a host that failed is passed over, however often the
+	// others name it: until they have noticed that it no longer leads.
+	shunFor = 2 * time.Second
 	// tryPause is the wait between attempts, doubled up to tryPauseMost.
 	tryPause     = 20 * time.Millisecond
 	tryPauseMost = 320 * time.Millisecond
@@ -28,9 +31,11 @@
 	peers   []conn.Peer
 	replica *ctrl.Replica
 
-	mu   sync.Mutex
-	hint tier.NodeID
-	turn int
+	mu      sync.Mutex
+	hint    tier.NodeID
+	turn    int
+	shunned tier.NodeID
+	until   time.Time
 }
 
 // target returns the control host to ask next.
@@ -43,18 +48,38 @@
 		}
 	}
 	l.turn++
+	if l.shuns(l.peers[l.turn%len(l.peers)].Node) {
+		l.turn++
+	}
 	return l.peers[l.turn%len(l.peers)]
 }
 
+func (l *leader) shuns(id tier.NodeID) bool { return id == l.shunned && time.Now().Before(l.until) }
+
 // learn notes the leader that a control host named, or "" when it knows none.
 func (l *leader) learn(id tier.NodeID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.shuns(id) {
+		id = ""
+	}
 	l.hint = id
 }
 
-// failed forgets the hint if it was the host that failed.
-func (l *leader) failed(id tier.NodeID) {
+// failed passes over a host for a while, unless it had no time to answer
+// because the request's own time was over.
+func (l *leader) failed(ctx context.Context, id tier.NodeID) {
+	if ctx.Err() != nil {
+		return
+	}
+	l.forget(id)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shunned, l.until = id, time.Now().Add(shunFor)
+}
+
+// forget drops the hint if it was that host.
+func (l *leader) forget(id tier.NodeID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.hint == id {
@@ -62,6 +87,16 @@
 	}
 }
 
+// found notes a host that answered as the leader.
+func (l *leader) found(id tier.NodeID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hint = id
+	if l.shunned == id {
+		l.shunned = ""
+	}
+}
+
 // retry calls try with control hosts in turn until it succeeds or ctx ends.
 func (l *leader) retry(ctx context.Context, try func(context.Context, conn.Peer) (again bool, err error)) error {
 	for pause := tryPause; ; pause = min(2*pause, tryPauseMost) {
@@ -70,7 +105,7 @@
 		again, err := try(tctx, p)
 		cancel()
 		if err == nil {
-			l.learn(p.Node)
+			l.found(p.Node)
 			return nil
 		}
 		if !again {
@@ -87,12 +122,12 @@
 // Propose makes a command durable; see tier.Proposer.
 func (l *leader) Propose(ctx context.Context, cmd store.Command) (store.Result, error) {
 	var res store.Result
-	err := l.retry(ctx, func(ctx context.Context, p conn.Peer) (bool, error) {
+	err := l.retry(ctx, func(tctx context.Context, p conn.Peer) (bool, error) {
 		var rep proposeReply
 		if p.Node == l.self {
-			rep = l.proposeHere(ctx, cmd)
-		} else if err := l.mesh.Call(ctx, p, conn.KindPropose, cmd, &rep); err != nil {
-			l.failed(p.Node)
+			rep = l.proposeHere(tctx, cmd)
+		} else if err := l.mesh.Call(tctx, p, conn.KindPropose, cmd, &rep); err != nil {
+			l.failed(ctx, p.Node)
 			return true, err
 		}
 		if rep.Error != "" {
@@ -135,12 +170,12 @@
 // ask passes a question or order to the control leader.
 func (l *leader) ask(ctx context.Context, req adminRequest) (adminReply, error) {
 	var res adminReply
-	err := l.retry(ctx, func(ctx context.Context, p conn.Peer) (bool, error) {
+	err := l.retry(ctx, func(tctx context.Context, p conn.Peer) (bool, error) {
 		var rep adminReply
 		if p.Node == l.self {
-			rep = l.answer(ctx, req)
-		} else if err := l.mesh.Call(ctx, p, conn.KindAdmin, req, &rep); err != nil {
-			l.failed(p.Node)
+			rep = l.answer(tctx, req)
+		} else if err := l.mesh.Call(tctx, p, conn.KindAdmin, req, &rep); err != nil {
+			l.failed(ctx, p.Node)
 			return true, err
 		}
 		if rep.Error != "" {
