--- a/internal/system/load_test.go
+++ b/internal/system/load_test.go
@@ -29,6 +29,8 @@
 	failed   atomic.Int64
 	problem  atomic.Pointer[string]
 	versions sync.Map
+	// failedAt counts failed requests by address.
+	failedAt sync.Map
 }
 
 const callers = 6
@@ -74,15 +76,31 @@
 	}
 	var a tier.QueryAnswer
 	q := tier.QueryRequest{Service: "fitter-app", Body: json.RawMessage(body)}
-	err = c.Do(ctx, list[int(tr.done.Load())%len(list)], http.MethodPost, "/v1/query", q, &a, http.StatusOK, http.StatusServiceUnavailable)
+	entry := list[int(tr.done.Load())%len(list)]
+	err = c.Do(ctx, entry, http.MethodPost, "/v1/query", q, &a, http.StatusOK, http.StatusServiceUnavailable)
 	if err != nil {
-		tr.failed.Add(1)
-		tr.f.t.Logf("failed request: %v", err)
+		tr.fell(entry, err)
 		return
 	}
 	tr.check(a, body)
 }
 
+func (tr *traffic) fell(entry string, err error) {
+	tr.failed.Add(1)
+	n, _ := tr.failedAt.LoadOrStore(entry, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+	tr.f.t.Logf("failed request: %v", err)
+}
+
+// failures returns the number of failed requests to one address.
+func (tr *traffic) failures(entry string) int64 {
+	n, ok := tr.failedAt.Load(entry)
+	if !ok {
+		return 0
+	}
+	return n.(*atomic.Int64).Load()
+}
+
 func (tr *traffic) check(a tier.QueryAnswer, body string) {
 	switch a.Outcome {
 	case tier.Done:
