Batches travel on lanes: one open stream to each owner

Change: conn.Lanes and conn.Server carry all batches to an owner on one stream; messages that gather during a write go out in the next one. A sender at an entry never waits for the stream. Tests: lanes give each query its own replies, cancelled attempts end at the owner, a broken lane tells truly, finished lanes lose no reply.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 # Real processes: kills, freezes, wiped disks, drains, faults of servers.
 system:
+	command -v curl >/dev/null || (apt-get update && apt-get install -y curl)
 	scripts/known.sh $(GO) test -timeout 30m ./internal/system
 
 lint:
--- /dev/null
+++ b/internal/conn/lane_test.go
@@ -0,0 +1,203 @@
+package conn
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+type wallClock struct{ began time.Time }
+
+func (c wallClock) Now() time.Duration { return time.Since(c.began) }
+
+// laneTest is an entry with lanes to one owner; sub-queries with the body "wait"
+// run until they are cancelled or let go.
+type laneTest struct {
+	lanes    *Lanes
+	owner    *Server
+	mesh     *Mesh
+	to       Peer
+	running  chan int
+	canceled chan int
+	let      chan struct{}
+}
+
+func newLaneTest(t testing.TB) *laneTest {
+	l := &laneTest{running: make(chan int, 100), canceled: make(chan int, 100), let: make(chan struct{})}
+	l.owner = &Server{
+		Clock: wallClock{time.Now()}, Run: l.run, Go: func(f func()) { go f() }, Opened: func() {}, Closed: func() {},
+	}
+	from, owner, to := newPair(t, l.owner.Serve)
+	l.lanes, l.mesh, l.to = &Lanes{Mesh: from}, owner, to
+	return l
+}
+
+func (l *laneTest) run(ctx context.Context, b *Batch, s Sub, _ time.Duration) Reply {
+	r := Reply{Attempt: s.Attempt, Shard: s.Shard, Server: s.Server, Fate: FateDone, Data: b.Body}
+	if string(b.Body) != `"wait"` {
+		return r
+	}
+	l.running <- s.Attempt
+	select {
+	case <-ctx.Done():
+		l.canceled <- s.Attempt
+		r.Fate = FateFailed
+	case <-l.let:
+	}
+	return r
+}
+
+func (l *laneTest) ask(body string, subs ...Sub) (*Handle, chan Reply) {
+	got := make(chan Reply, len(subs))
+	h := l.lanes.NewHandle(l.to, subs, func(r Reply) { got <- r })
+	l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(body), Subs: subs, DeadlineMs: 1000})
+	return h, got
+}
+
+// pending returns the number of batches that the lane waits for.
+func (l *laneTest) pending() int {
+	l.lanes.mu.Lock()
+	defer l.lanes.mu.Unlock()
+	ln := l.lanes.open["b"]
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return len(ln.pending)
+}
+
+func subs(n int) []Sub {
+	var out []Sub
+	for i := range n {
+		out = append(out, Sub{Attempt: i, Shard: tier.Shard(i), Server: tier.ServerID(fmt.Sprint("s", i))})
+	}
+	return out
+}
+
+func TestLanesGiveEachQueryItsOwnReplies(t *testing.T) {
+	l := newLaneTest(t)
+	var wait sync.WaitGroup
+	for q := range 50 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			body := fmt.Sprint(q)
+			_, got := l.ask(body, subs(5)...)
+			seen := map[int]bool{}
+			for range 5 {
+				r := <-got
+				seen[r.Attempt] = true
+				require.Equal(t, body, string(r.Data))
+				require.Equal(t, FateDone, r.Fate)
+			}
+			require.Len(t, seen, 5)
+		}()
+	}
+	wait.Wait()
+	require.Equal(t, 1, l.owner.Lanes())
+	await(t, func() bool { return l.pending() == 0 })
+}
+
+func TestCancelledAttemptEndsAtTheOwner(t *testing.T) {
+	l := newLaneTest(t)
+	h, got := l.ask(`"wait"`, subs(2)...)
+	<-l.running
+	<-l.running
+	h.Cancel(1)
+	require.Equal(t, 1, <-l.canceled)
+	close(l.let)
+	require.Equal(t, 0, (<-got).Attempt)
+	require.Empty(t, got, "a cancelled attempt gets no reply")
+	await(t, func() bool {
+		l.owner.mu.Lock()
+		defer l.owner.mu.Unlock()
+		for v := range l.owner.lanes {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			return len(v.left) == 0 && len(v.cancels) == 0
+		}
+		return false
+	})
+	h.Cancel(0)
+	h.Cancel(1)
+}
+
+func TestCancelBeforeSendIsNotSent(t *testing.T) {
+	l := newLaneTest(t)
+	got := make(chan Reply, 2)
+	h := l.lanes.NewHandle(l.to, subs(2), func(r Reply) { got <- r })
+	h.Cancel(0)
+	l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(`1`), Subs: subs(2)})
+	require.Equal(t, 1, (<-got).Attempt)
+	h = l.lanes.NewHandle(l.to, subs(1), func(r Reply) { got <- r })
+	h.Cancel(0)
+	l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(`1`), Subs: subs(1)})
+	await(t, func() bool { return l.pending() == 0 })
+}
+
+// TestBrokenLaneTellsTruly breaks the lane under a batch: that one may have
+// run, one that cannot be sent any more has not.
+func TestBrokenLaneTellsTruly(t *testing.T) {
+	l := newLaneTest(t)
+	_, got := l.ask(`"wait"`, subs(2)...)
+	<-l.running
+	<-l.running
+	require.NoError(t, l.mesh.Close())
+	for range 2 {
+		r := <-got
+		require.Equal(t, FateFailed, r.Fate)
+		require.Equal(t, tier.ReasonLost, r.Reason)
+	}
+	await(t, func() bool { return !l.lanes.Ready(l.to) })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	h := l.lanes.NewHandle(l.to, subs(1), func(r Reply) { got <- r })
+	l.lanes.Ask(ctx, h, &Batch{Subs: subs(1)})
+	require.Equal(t, FateNotRun, (<-got).Fate)
+}
+
+// TestFinishedLanesLoseNoReply ends the lanes of an owner that has just
+// answered; the next batch goes over a new lane.
+func TestFinishedLanesLoseNoReply(t *testing.T) {
+	l := newLaneTest(t)
+	const batches = 200
+	replies := make(chan Reply, batches)
+	for range batches {
+		h := l.lanes.NewHandle(l.to, subs(1), func(r Reply) { replies <- r })
+		l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(`"wait"`), Subs: subs(1)})
+	}
+	for range batches {
+		<-l.running
+	}
+	ended := make(chan struct{}, batches)
+	l.owner.Closed = func() { ended <- struct{}{} }
+	close(l.let)
+	for range batches {
+		<-ended
+	}
+	l.owner.Finish()
+	for range batches {
+		require.Equal(t, FateDone, (<-replies).Fate)
+	}
+	await(t, func() bool { return l.owner.Lanes() == 0 && !l.lanes.Ready(l.to) })
+	_, got := l.ask(`1`, subs(1)...)
+	require.Equal(t, FateDone, (<-got).Fate)
+}
+
+// BenchmarkLane is one batch of one sub-query and its reply.
+func BenchmarkLane(b *testing.B) {
+	l := newLaneTest(b)
+	one := subs(1)
+	got := make(chan Reply, 1)
+	body := make([]byte, 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		h := l.lanes.NewHandle(l.to, one, func(r Reply) { got <- r })
+		l.lanes.Ask(context.Background(), h, &Batch{Body: body, Subs: one})
+		<-got
+	}
+}
--- a/internal/conn/mesh.go
+++ b/internal/conn/mesh.go
@@ -225,6 +225,15 @@
 	return nil
 }
 
+// Go runs a function that ends when its stream does; Close waits for it.
+func (m *Mesh) Go(f func()) {
+	m.wait.Add(1)
+	go func() {
+		defer m.wait.Done()
+		f()
+	}()
+}
+
 // Links returns the number of peers with an open link.
 func (m *Mesh) Links() int {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/conn/mesh_test.go
@@ -0,0 +1,77 @@
+package conn
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/internal/cert"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// newPair starts two meshes whose streams of KindQuery are handled by h.
+func newPair(t testing.TB, h Handler) (from, to *Mesh, peer Peer) {
+	t.Helper()
+	dir := t.TempDir()
+	m := &cert.Maker{Folder: dir}
+	require.NoError(t, m.Open())
+	start := func(name string) *Mesh {
+		require.NoError(t, m.Node(name, nil))
+		e := &Mesh{Self: tier.NodeID(name), Listen: "127.0.0.1:0", Certs: &Certs{
+			CA: filepath.Join(dir, "ca.pem"), Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"),
+		}}
+		e.Handlers = map[Kind]Handler{KindQuery: h}
+		require.NoError(t, e.Start(context.Background()))
+		t.Cleanup(func() { _ = e.Close() })
+		return e
+	}
+	a, b := start("a"), start("b")
+	return a, b, Peer{Node: "b", Address: b.transport.Conn.(*net.UDPConn).LocalAddr().String()}
+}
+
+func echo(_ context.Context, s *Stream) {
+	for {
+		var p payload
+		if s.Recv(&p) != nil || s.Send(p) != nil {
+			return
+		}
+	}
+}
+
+func TestMeshCallAndStream(t *testing.T) {
+	from, _, to := newPair(t, echo)
+	var got payload
+	require.NoError(t, from.Call(context.Background(), to, KindQuery, payload{[]byte("x")}, &got))
+	require.Equal(t, "x", string(got.Data))
+	require.Equal(t, 1, from.Links())
+	require.Error(t, from.Call(context.Background(), Peer{Node: "c", Address: to.Address}, KindQuery, payload{}, &got), "a node's certificate must carry its name")
+}
+
+// BenchmarkCall is one request and answer on a stream of its own.
+func BenchmarkCall(b *testing.B) {
+	from, _, to := newPair(b, echo)
+	msg := payload{make([]byte, 200)}
+	b.ReportAllocs()
+	for b.Loop() {
+		var got payload
+		require.NoError(b, from.Call(context.Background(), to, KindQuery, msg, &got))
+	}
+}
+
+// BenchmarkStream is one request and answer on a stream that stays open.
+func BenchmarkStream(b *testing.B) {
+	from, _, to := newPair(b, echo)
+	s, err := from.Open(context.Background(), to, KindQuery)
+	require.NoError(b, err)
+	defer s.Cancel()
+	msg := payload{make([]byte, 200)}
+	b.ReportAllocs()
+	for b.Loop() {
+		var got payload
+		require.NoError(b, s.Send(msg))
+		require.NoError(b, s.Recv(&got))
+	}
+}
--- a/internal/conn/stream.go
+++ b/internal/conn/stream.go
@@ -38,6 +38,19 @@
 	return err
 }
 
+// takeHead returns the head of a stream just opened, for the first write.
+func (s *Stream) takeHead() []byte {
+	b := s.buf[:s.held:s.held]
+	s.buf, s.held = nil, 0
+	return b
+}
+
+// write writes frames that are encoded already.
+func (s *Stream) write(b []byte) error {
+	_, err := s.qs.Write(b)
+	return err
+}
+
 // Recv reads one frame.
 func (s *Stream) Recv(v any) error { return frame.Read(s.in, v) }
 
--- a/internal/conn/wire.go
+++ b/internal/conn/wire.go
@@ -18,8 +18,7 @@
 	KindAdmin   Kind = "admin"
 )
 
-// Batch is the sub-queries of one query that go to servers of one owner. It
-// is the first frame of a query stream; Cancel frames may follow.
+// Batch is the sub-queries of one query that go to servers of one owner.
 type Batch struct {
 	Request    tier.RequestID   `cbor:"1,keyasint"`
 	Service    tier.Service     `cbor:"2,keyasint"`
--- a/internal/reqst/engine.go
+++ b/internal/reqst/engine.go
@@ -64,6 +64,8 @@
 	windows  map[tier.Service]*stats.Window
 	suspects map[tier.Fingerprint]store.Suspect
 	next     atomic.Uint64
+	lanes    conn.Lanes
+	served   conn.Server
 	open     atomic.Int64
 }
 
@@ -73,6 +75,8 @@
 	e.retries = map[tier.Service]*Budget{}
 	e.windows = map[tier.Service]*stats.Window{}
 	e.suspects = map[tier.Fingerprint]store.Suspect{}
+	e.lanes.Mesh = e.Mesh
+	e.serveBatches()
 	e.Board.Start()
 	e.Gate.Rate = e.rate
 	e.Gate.Start()
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -276,8 +276,8 @@
 		Request: g.id, Service: g.query.Service, Snapshot: g.plan.Layout.Snapshot, Print: g.print, Rank: g.rank,
 		DeadlineMs: tier.ToMillis(g.deadline - g.engine.Clock.Now()), Body: g.query.Body, Subs: b.subs,
 	}
-	out := g.replies
 	if b.peer.Node == g.engine.Self {
+		out := g.replies
 		for _, s := range b.subs {
 			sctx, cancel := context.WithCancel(ctx)
 			g.cancels[s.Attempt] = cancel
@@ -288,9 +288,5 @@
 		}
 		return
 	}
-	r := &remote{engine: g.engine, peer: b.peer, msg: msg, out: out}
-	for _, s := range b.subs {
-		g.cancels[s.Attempt] = func() { r.cancel(s.Attempt) }
-	}
-	g.engine.Workers.Go(func() { r.run(ctx) })
+	g.askRemote(ctx, b, msg)
 }
