--- a/internal/conn/line.go
+++ b/internal/conn/line.go
@@ -147,16 +147,25 @@
 		return answer{}, false, err
 	}
 	c.in.N = mostBytes
-	resp, err := http.ReadResponse(c.r, req)
-	for err == nil && resp.StatusCode < http.StatusOK {
-		resp, err = http.ReadResponse(c.r, req)
-	}
+	resp, err := c.final(req)
 	if err != nil {
 		return answer{}, false, err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	b, err := readBody(resp)
 	if err != nil {
 		return answer{status: resp.StatusCode}, false, err
 	}
 	return answer{resp.StatusCode, resp.Header, b}, !resp.Close, nil
 }
+
+// final reads the answer, without the interim ones before it.
+func (c *line) final(req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+		_ = resp.Body.Close()
+	}
+}
