--- a/internal/proc/hub/hub.go
+++ b/internal/proc/hub/hub.go
@@ -88,30 +88,27 @@
 
 // setNode replaces the record of a node, or removes it for nil.
 func (h *Hub) setNode(id tier.NodeID, n *Node) {
-	b := bucketOf(string(id))
-	if old, ok := h.table.Nodes[id]; ok {
-		h.digests[b] ^= digest(old)
-		delete(h.table.Nodes, id)
-	}
-	if n != nil {
-		h.digests[b] ^= digest(*n)
-		h.table.Nodes[id] = *n
-	}
+	replace(h.digests, h.table.Nodes, id, n)
 	h.bump(change{node: id})
 }
 
 // setServer replaces the record of a server, or removes it for nil.
 func (h *Hub) setServer(id tier.ServerID, s *Server) {
+	replace(h.digests, h.table.Servers, id, s)
+	h.bump(change{server: id})
+}
+
+// replace puts a record into a table, or removes it for nil, and keeps the digest of its bucket.
+func replace[K ~string, V any](digests []uint64, table map[K]V, id K, v *V) {
 	b := bucketOf(string(id))
-	if old, ok := h.table.Servers[id]; ok {
-		h.digests[b] ^= digest(old)
-		delete(h.table.Servers, id)
+	if old, ok := table[id]; ok {
+		digests[b] ^= digest(old)
+		delete(table, id)
 	}
-	if s != nil {
-		h.digests[b] ^= digest(*s)
-		h.table.Servers[id] = *s
+	if v != nil {
+		digests[b] ^= digest(*v)
+		table[id] = *v
 	}
-	h.bump(change{server: id})
 }
 
 // Receive handles a message from a node and renews its lease.
