--- a/internal/conn/lane_test.go
+++ b/internal/conn/mux_test.go
@@ -16,11 +16,11 @@
 
 func (c wallClock) Now() time.Duration { return time.Since(c.began) }
 
-// laneTest is an entry with lanes to one owner; sub-queries with the body "wait"
+// muxTest is an entry with muxes to one owner; sub-queries with the body "wait"
 // run until they are cancelled or let go.
-type laneTest struct {
-	lanes    *Lanes
-	owner    *Server
+type muxTest struct {
+	muxes    *Muxes
+	owner    *MuxServer
 	mesh     *Mesh
 	to       Peer
 	running  chan int
@@ -28,17 +28,17 @@
 	let      chan struct{}
 }
 
-func newLaneTest(t testing.TB) *laneTest {
-	l := &laneTest{running: make(chan int, 100), canceled: make(chan int, 100), let: make(chan struct{})}
-	l.owner = &Server{
+func newMuxTest(t testing.TB) *muxTest {
+	l := &muxTest{running: make(chan int, 100), canceled: make(chan int, 100), let: make(chan struct{})}
+	l.owner = &MuxServer{
 		Clock: wallClock{time.Now()}, Run: l.run, Go: func(f func()) { go f() }, Opened: func() {}, Closed: func() {},
 	}
 	from, owner, to := newPair(t, l.owner.Serve)
-	l.lanes, l.mesh, l.to = &Lanes{Mesh: from}, owner, to
+	l.muxes, l.mesh, l.to = &Muxes{Mesh: from}, owner, to
 	return l
 }
 
-func (l *laneTest) run(ctx context.Context, b *Batch, s Sub, _ time.Duration) Reply {
+func (l *muxTest) run(ctx context.Context, b *Batch, s Sub, _ time.Duration) Reply {
 	r := Reply{Attempt: s.Attempt, Shard: s.Shard, Server: s.Server, Fate: FateDone, Data: b.Body}
 	if string(b.Body) != `"wait"` {
 		return r
@@ -53,18 +53,18 @@
 	return r
 }
 
-func (l *laneTest) ask(body string, subs ...Sub) (*Handle, chan Reply) {
+func (l *muxTest) ask(body string, subs ...Sub) (*Call, chan Reply) {
 	got := make(chan Reply, len(subs))
-	h := l.lanes.NewHandle(l.to, subs, func(r Reply) { got <- r })
-	l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(body), Subs: subs, DeadlineMs: 1000})
+	h := l.muxes.NewCall(l.to, subs, func(r Reply) { got <- r })
+	l.muxes.Send(context.Background(), h, &Batch{Body: []byte(body), Subs: subs, DeadlineMs: 1000})
 	return h, got
 }
 
-// pending returns the number of batches that the lane waits for.
-func (l *laneTest) pending() int {
-	l.lanes.mu.Lock()
-	defer l.lanes.mu.Unlock()
-	ln := l.lanes.open["b"]
+// pending returns the number of batches that the mux waits for.
+func (l *muxTest) pending() int {
+	l.muxes.mu.Lock()
+	defer l.muxes.mu.Unlock()
+	ln := l.muxes.open["b"]
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	return len(ln.pending)
@@ -78,8 +78,8 @@
 	return out
 }
 
-func TestLanesGiveEachQueryItsOwnReplies(t *testing.T) {
-	l := newLaneTest(t)
+func TestMuxGivesEachQueryItsOwnReplies(t *testing.T) {
+	l := newMuxTest(t)
 	var wait sync.WaitGroup
 	for q := range 50 {
 		wait.Add(1)
@@ -98,12 +98,12 @@
 		}()
 	}
 	wait.Wait()
-	require.Equal(t, 1, l.owner.Lanes())
+	require.Equal(t, 1, l.owner.Muxes())
 	await(t, func() bool { return l.pending() == 0 })
 }
 
 func TestCancelledAttemptEndsAtTheOwner(t *testing.T) {
-	l := newLaneTest(t)
+	l := newMuxTest(t)
 	h, got := l.ask(`"wait"`, subs(2)...)
 	<-l.running
 	<-l.running
@@ -115,7 +115,7 @@
 	await(t, func() bool {
 		l.owner.mu.Lock()
 		defer l.owner.mu.Unlock()
-		for v := range l.owner.lanes {
+		for v := range l.owner.muxes {
 			v.mu.Lock()
 			defer v.mu.Unlock()
 			return len(v.left) == 0 && len(v.cancels) == 0
@@ -127,22 +127,22 @@
 }
 
 func TestCancelBeforeSendIsNotSent(t *testing.T) {
-	l := newLaneTest(t)
+	l := newMuxTest(t)
 	got := make(chan Reply, 2)
-	h := l.lanes.NewHandle(l.to, subs(2), func(r Reply) { got <- r })
+	h := l.muxes.NewCall(l.to, subs(2), func(r Reply) { got <- r })
 	h.Cancel(0)
-	l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(`1`), Subs: subs(2)})
+	l.muxes.Send(context.Background(), h, &Batch{Body: []byte(`1`), Subs: subs(2)})
 	require.Equal(t, 1, (<-got).Attempt)
-	h = l.lanes.NewHandle(l.to, subs(1), func(r Reply) { got <- r })
+	h = l.muxes.NewCall(l.to, subs(1), func(r Reply) { got <- r })
 	h.Cancel(0)
-	l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(`1`), Subs: subs(1)})
+	l.muxes.Send(context.Background(), h, &Batch{Body: []byte(`1`), Subs: subs(1)})
 	await(t, func() bool { return l.pending() == 0 })
 }
 
-// TestBrokenLaneTellsTruly breaks the lane under a batch: that one may have
+// TestBrokenMuxTellsTruly breaks the mux under a batch: that one may have
 // run, one that cannot be sent any more has not.
-func TestBrokenLaneTellsTruly(t *testing.T) {
-	l := newLaneTest(t)
+func TestBrokenMuxTellsTruly(t *testing.T) {
+	l := newMuxTest(t)
 	_, got := l.ask(`"wait"`, subs(2)...)
 	<-l.running
 	<-l.running
@@ -152,23 +152,23 @@
 		require.Equal(t, FateFailed, r.Fate)
 		require.Equal(t, tier.ReasonLost, r.Reason)
 	}
-	await(t, func() bool { return !l.lanes.Ready(l.to) })
+	await(t, func() bool { return !l.muxes.Ready(l.to) })
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	h := l.lanes.NewHandle(l.to, subs(1), func(r Reply) { got <- r })
-	l.lanes.Ask(ctx, h, &Batch{Subs: subs(1)})
+	h := l.muxes.NewCall(l.to, subs(1), func(r Reply) { got <- r })
+	l.muxes.Send(ctx, h, &Batch{Subs: subs(1)})
 	require.Equal(t, FateNotRun, (<-got).Fate)
 }
 
-// TestFinishedLanesLoseNoReply ends the lanes of an owner that has just
-// answered; the next batch goes over a new lane.
-func TestFinishedLanesLoseNoReply(t *testing.T) {
-	l := newLaneTest(t)
+// TestFinishedMuxesLoseNoReply ends the muxes of an owner that has just
+// answered; the next batch goes over a new mux.
+func TestFinishedMuxesLoseNoReply(t *testing.T) {
+	l := newMuxTest(t)
 	const batches = 200
 	replies := make(chan Reply, batches)
 	for range batches {
-		h := l.lanes.NewHandle(l.to, subs(1), func(r Reply) { replies <- r })
-		l.lanes.Ask(context.Background(), h, &Batch{Body: []byte(`"wait"`), Subs: subs(1)})
+		h := l.muxes.NewCall(l.to, subs(1), func(r Reply) { replies <- r })
+		l.muxes.Send(context.Background(), h, &Batch{Body: []byte(`"wait"`), Subs: subs(1)})
 	}
 	for range batches {
 		<-l.running
@@ -183,21 +183,21 @@
 	for range batches {
 		require.Equal(t, FateDone, (<-replies).Fate)
 	}
-	await(t, func() bool { return l.owner.Lanes() == 0 && !l.lanes.Ready(l.to) })
+	await(t, func() bool { return l.owner.Muxes() == 0 && !l.muxes.Ready(l.to) })
 	_, got := l.ask(`1`, subs(1)...)
 	require.Equal(t, FateDone, (<-got).Fate)
 }
 
-// BenchmarkLane is one batch of one sub-query and its reply.
-func BenchmarkLane(b *testing.B) {
-	l := newLaneTest(b)
+// BenchmarkMux is one batch of one sub-query and its reply.
+func BenchmarkMux(b *testing.B) {
+	l := newMuxTest(b)
 	one := subs(1)
 	got := make(chan Reply, 1)
 	body := make([]byte, 100)
 	b.ReportAllocs()
 	for b.Loop() {
-		h := l.lanes.NewHandle(l.to, one, func(r Reply) { got <- r })
-		l.lanes.Ask(context.Background(), h, &Batch{Body: body, Subs: one})
+		h := l.muxes.NewCall(l.to, one, func(r Reply) { got <- r })
+		l.muxes.Send(context.Background(), h, &Batch{Body: body, Subs: one})
 		<-got
 	}
 }
--- a/internal/conn/served.go
+++ b/internal/conn/muxserver.go
@@ -8,8 +8,8 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
-// Server answers the batches that come on lanes. Lock order: mu, then a served lane's mu.
-type Server struct {
+// MuxServer answers the batches that come on muxes. Lock order: mu, then a muxConn mux's mu.
+type MuxServer struct {
 	// Clock gives the time.
 	Clock tier.Clock
 	// Run answers one sub-query of a batch by its deadline; ctx ends when it is cancelled.
@@ -20,64 +20,64 @@
 	Opened, Closed func()
 
 	mu    sync.Mutex
-	lanes map[*served]bool
+	muxes map[*muxConn]bool
 }
 
-// served is a lane at its owner.
-type served struct {
-	server *Server
-	out    *writer
+// muxConn is a mux at its owner.
+type muxConn struct {
+	server *MuxServer
+	out    *outbox
 
 	mu      sync.Mutex
 	cancels map[subKey]context.CancelFunc
 	left    map[uint64]int
 }
 
-// subKey names a sub-query on a lane.
+// subKey names a sub-query on a mux.
 type subKey struct {
 	query   uint64
 	attempt int
 }
 
-// Serve handles one lane until the entry ends it; what still runs then is cancelled.
-func (v *Server) Serve(ctx context.Context, s *Stream) {
+// Serve handles one mux until the entry ends it; what still runs then is cancelled.
+func (v *MuxServer) Serve(ctx context.Context, s *Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l := &served{server: v, out: newWriter(s, nil), cancels: map[subKey]context.CancelFunc{}, left: map[uint64]int{}}
+	l := &muxConn{server: v, out: newOutbox(s, nil), cancels: map[subKey]context.CancelFunc{}, left: map[uint64]int{}}
 	v.mu.Lock()
-	if v.lanes == nil {
-		v.lanes = map[*served]bool{}
+	if v.muxes == nil {
+		v.muxes = map[*muxConn]bool{}
 	}
-	v.lanes[l] = true
+	v.muxes[l] = true
 	v.mu.Unlock()
 	l.listen(ctx, s)
 	cancel()
 	v.mu.Lock()
-	delete(v.lanes, l)
+	delete(v.muxes, l)
 	v.mu.Unlock()
 	l.out.end()
 }
 
-// Finish ends all lanes once the replies on them have gone out. Each is gone
+// Finish ends all muxes once the replies on them have gone out. Each is gone
 // when the entry has read them.
-func (v *Server) Finish() {
+func (v *MuxServer) Finish() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for l := range v.lanes {
+	for l := range v.muxes {
 		l.out.finish()
 	}
 }
 
-// Lanes returns the number of lanes that are served.
-func (v *Server) Lanes() int {
+// Muxes returns the number of muxes that are muxConn.
+func (v *MuxServer) Muxes() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return len(v.lanes)
+	return len(v.muxes)
 }
 
-func (l *served) listen(ctx context.Context, s *Stream) {
+func (l *muxConn) listen(ctx context.Context, s *Stream) {
 	for {
-		var a Ask
+		var a Request
 		if s.Recv(&a) != nil {
 			return
 		}
@@ -90,7 +90,7 @@
 	}
 }
 
-func (l *served) begin(ctx context.Context, query uint64, b *Batch) {
+func (l *muxConn) begin(ctx context.Context, query uint64, b *Batch) {
 	if len(b.Subs) == 0 {
 		return
 	}
@@ -108,13 +108,13 @@
 		l.server.Go(func() {
 			r := l.server.Run(sctx, b, s, deadline)
 			stop()
-			l.out.send(Told{Query: query, Reply: r})
+			l.out.send(Response{Query: query, Reply: r})
 			l.end(key)
 		})
 	}
 }
 
-func (l *served) cancel(key subKey) {
+func (l *muxConn) cancel(key subKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if stop := l.cancels[key]; stop != nil {
@@ -122,7 +122,7 @@
 	}
 }
 
-func (l *served) end(key subKey) {
+func (l *muxConn) end(key subKey) {
 	l.mu.Lock()
 	delete(l.cancels, key)
 	l.left[key.query]--
--- a/internal/conn/writer.go
+++ b/internal/conn/outbox.go
@@ -13,9 +13,9 @@
 	mostKept = 256 << 10
 )
 
-// writer sends the messages of many goroutines on one stream. One of them
+// outbox sends the messages of many goroutines on one stream. One of them
 // writes; what the others add meanwhile goes out in its next write.
-type writer struct {
+type outbox struct {
 	stream *Stream
 	// spawn runs the writing goroutine, so that no sender waits for the stream;
 	// if it is nil, the sender that finds nobody writing does so itself.
@@ -29,14 +29,14 @@
 	closing bool
 }
 
-func newWriter(s *Stream, spawn func(func())) *writer {
-	w := &writer{stream: s, spawn: spawn, queue: s.takeHead()}
+func newOutbox(s *Stream, spawn func(func())) *outbox {
+	w := &outbox{stream: s, spawn: spawn, queue: s.takeHead()}
 	w.idle.L = &w.mu
 	return w
 }
 
 // send queues a message; false means that it was not, and will not be sent.
-func (w *writer) send(v any) bool {
+func (w *outbox) send(v any) bool {
 	queued, begin := w.add(v)
 	switch {
 	case !begin:
@@ -49,7 +49,7 @@
 }
 
 // add appends a message to the queue; begin says that the caller must see to the writing.
-func (w *writer) add(v any) (queued, begin bool) {
+func (w *outbox) add(v any) (queued, begin bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || len(w.queue) > mostQueued {
@@ -68,7 +68,7 @@
 }
 
 // pump writes until nothing is queued or the stream breaks.
-func (w *writer) pump() {
+func (w *outbox) pump() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var spare []byte
@@ -94,7 +94,7 @@
 }
 
 // finish lets what is queued go out, closes the sending side and takes nothing more.
-func (w *writer) finish() {
+func (w *outbox) finish() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped, w.closing = true, true
@@ -104,7 +104,7 @@
 }
 
 // end takes nothing more, gives up the stream and waits until nobody writes.
-func (w *writer) end() {
+func (w *outbox) end() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
--- a/internal/conn/owner.go
+++ b/internal/conn/owner.go
@@ -130,7 +130,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, p := range o.pools {
-		p.lines.expire()
+		p.transport.expire()
 	}
 }
 
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -32,10 +32,10 @@
 
 // Pool holds the slots and connections of one server instance at its owner.
 type Pool struct {
-	server tier.Announcement
-	clock  tier.Clock
-	lines  lines
-	spares *spares
+	server    tier.Announcement
+	clock     tier.Clock
+	transport transport
+	spares    *spares
 
 	mu      sync.Mutex
 	slots   Slots
@@ -55,12 +55,12 @@
 		scheme = "https"
 	}
 	return &Pool{
-		spares:  ahead,
-		server:  s,
-		clock:   clock,
-		lines:   lines{ahead: ahead, base: url.URL{Scheme: scheme, Host: s.Address}},
-		running: map[*Ticket]bool{},
-		slots:   Slots{Limit: mostRunning(s), MaxQueue: maxQueue},
+		spares:    ahead,
+		server:    s,
+		clock:     clock,
+		transport: transport{ahead: ahead, base: url.URL{Scheme: scheme, Host: s.Address}},
+		running:   map[*Ticket]bool{},
+		slots:     Slots{Limit: mostRunning(s), MaxQueue: maxQueue},
 	}
 }
 
@@ -177,7 +177,7 @@
 	defer p.mu.Unlock()
 	p.slots.Close(why)
 	p.spares.drop(true)
-	p.lines.drop(true)
+	p.transport.drop(true)
 }
 
 // answer is what a server gave back.
--- a/internal/conn/search.go
+++ b/internal/conn/search.go
@@ -62,7 +62,7 @@
 		tier.HeaderDeadline:  {deadlineHeader(left)},
 		"Content-Type":       {"application/json"},
 	}
-	a, err := p.lines.post(rctx, SearchPath, h, b.Body)
+	a, err := p.transport.post(rctx, SearchPath, h, b.Body)
 	if err != nil {
 		o.searchFailed(ctx, p, t, b, rep, err, limit == rules.Silence)
 		return
@@ -131,7 +131,7 @@
 // silent retires the idle connections too: whatever lost track of one may
 // have lost track of the others.
 func (o *Owner) silent(p *Pool, id tier.RequestID) {
-	p.lines.drop(false)
+	p.transport.drop(false)
 	p.spares.drop(false)
 	o.Silent(p.server.Server, id)
 }
--- a/internal/conn/line.go
+++ b/internal/conn/transport.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// lineBuffer is the size in bytes of a connection's read and write buffers.
-	lineBuffer = 4 << 10
+	// connBuffer is the size in bytes of a connection's read and write buffers.
+	connBuffer = 4 << 10
 	// mostBytes is the longest answer with its header, in bytes.
 	mostBytes = MaxAnswer + 1<<20
 )
 
-// line is a connection to a server; it carries one request at a time.
-type line struct {
+// persistConn is a connection to a server; it carries one request at a time.
+type persistConn struct {
 	conn net.Conn
 	in   *io.LimitedReader
 	r    *bufio.Reader
@@ -28,25 +28,25 @@
 	idle time.Time
 }
 
-func newLine(c net.Conn) *line {
+func newPersistConn(c net.Conn) *persistConn {
 	in := &io.LimitedReader{R: c}
-	return &line{conn: c, in: in, r: bufio.NewReaderSize(in, lineBuffer), w: bufio.NewWriterSize(c, lineBuffer)}
+	return &persistConn{conn: c, in: in, r: bufio.NewReaderSize(in, connBuffer), w: bufio.NewWriterSize(c, connBuffer)}
 }
 
-// lines keeps the open connections to one server that carry no request.
+// transport keeps the open connections to one server that carry no request.
 // A request is written and its answer read by the goroutine that asks, which
 // http.Transport leaves to two goroutines of each connection.
-type lines struct {
+type transport struct {
 	ahead *spares
 	base  url.URL
 
 	mu     sync.Mutex
-	idle   []*line
+	idle   []*persistConn
 	closed bool
 }
 
 // get returns an open connection that has not been closed by the server, or a new one.
-func (l *lines) get(ctx context.Context) (*line, error) {
+func (l *transport) get(ctx context.Context) (*persistConn, error) {
 	for c := l.take(); c != nil; c = l.take() {
 		if time.Since(c.idle) < IdleConn && c.r.Buffered() == 0 && quiet(c.conn) {
 			return c, nil
@@ -57,11 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newLine(c), nil
+	return newPersistConn(c), nil
 }
 
 // take returns the connection that was used last.
-func (l *lines) take() *line {
+func (l *transport) take() *persistConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.idle) == 0 {
@@ -72,7 +72,7 @@
 	return c
 }
 
-func (l *lines) put(c *line) {
+func (l *transport) put(c *persistConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -84,7 +84,7 @@
 }
 
 // expire closes the connections that have been idle for too long; they stand first.
-func (l *lines) expire() {
+func (l *transport) expire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
@@ -96,7 +96,7 @@
 }
 
 // drop closes the idle connections; with last, later ones too.
-func (l *lines) drop(last bool) {
+func (l *transport) drop(last bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.idle {
@@ -108,7 +108,7 @@
 
 // post sends one request and reads its whole answer. When ctx ends the
 // connection is closed, which cancels the request at the server.
-func (l *lines) post(ctx context.Context, path string, h http.Header, body []byte) (answer, error) {
+func (l *transport) post(ctx context.Context, path string, h http.Header, body []byte) (answer, error) {
 	c, err := l.get(ctx)
 	if err != nil {
 		return answer{}, ctxError(ctx, err)
@@ -139,7 +139,7 @@
 
 // exchange writes a request and reads its answer; reuse says whether the
 // connection may carry another one.
-func (c *line) exchange(req *http.Request) (a answer, reuse bool, err error) {
+func (c *persistConn) exchange(req *http.Request) (a answer, reuse bool, err error) {
 	if err := req.Write(c.w); err != nil {
 		return answer{}, false, err
 	}
@@ -160,7 +160,7 @@
 }
 
 // final reads the answer, without the interim ones before it.
-func (c *line) final(req *http.Request) (*http.Response, error) {
+func (c *persistConn) final(req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(c.r, req)
 		if err != nil || resp.StatusCode >= http.StatusOK {
--- a/internal/conn/line_test.go
+++ b/internal/conn/transport_test.go
@@ -17,12 +17,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-func linesTo(address string) *lines {
-	return &lines{ahead: &spares{address: address}, base: url.URL{Scheme: "http", Host: address}}
+func transportTo(address string) *transport {
+	return &transport{ahead: &spares{address: address}, base: url.URL{Scheme: "http", Host: address}}
 }
 
 // echoServer answers with the body and counts its connections.
-func echoServer(t testing.TB) (*lines, *atomic.Int64) {
+func echoServer(t testing.TB) (*transport, *atomic.Int64) {
 	t.Helper()
 	var opened atomic.Int64
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -41,12 +41,12 @@
 	}
 	s.Start()
 	t.Cleanup(s.Close)
-	l := linesTo(s.Listener.Addr().String())
+	l := transportTo(s.Listener.Addr().String())
 	t.Cleanup(func() { l.drop(true) })
 	return l, &opened
 }
 
-func TestLinesReuseConnections(t *testing.T) {
+func TestTransportReusesConnections(t *testing.T) {
 	l, opened := echoServer(t)
 	for i, c := range []struct {
 		path string
@@ -72,7 +72,7 @@
 }
 
 // rawServer runs f for each connection.
-func rawServer(t *testing.T, f func(net.Conn)) *lines {
+func rawServer(t *testing.T, f func(net.Conn)) *transport {
 	t.Helper()
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -86,7 +86,7 @@
 			go f(c)
 		}
 	}()
-	return linesTo(n.Addr().String())
+	return transportTo(n.Addr().String())
 }
 
 // takeRequest reads one request from a connection.
@@ -96,7 +96,7 @@
 	}
 }
 
-func TestLineThatTheServerClosedIsPassedOver(t *testing.T) {
+func TestConnectionThatTheServerClosedIsPassedOver(t *testing.T) {
 	closed := make(chan struct{}, 1)
 	l := rawServer(t, func(c net.Conn) {
 		takeRequest(c)
@@ -112,7 +112,7 @@
 	}
 }
 
-func TestCancelClosesTheLine(t *testing.T) {
+func TestCancelClosesTheConnection(t *testing.T) {
 	gone := make(chan error, 2)
 	arrived := make(chan struct{}, 2)
 	l := rawServer(t, func(c net.Conn) {
--- a/internal/conn/write.go
+++ b/internal/conn/write.go
@@ -40,7 +40,7 @@
 		tier.HeaderDeadline:  {deadlineHeader(left)},
 		"Content-Type":       {"application/json"},
 	}
-	a, err := p.lines.post(wctx, WritePath, h, w.Body)
+	a, err := p.transport.post(wctx, WritePath, h, w.Body)
 	switch {
 	case err == nil:
 		p.release(t, a.status == http.StatusOK)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -69,7 +69,7 @@
 		n.replica.Hand(hctx)
 		cancel()
 	}
-	n.finishLanes(ctx)
+	n.finishMuxes(ctx)
 	event.DrainEnded.Log(n.Log, nil, nil)
 	return nil
 }
@@ -86,12 +86,12 @@
 	})
 }
 
-// finishLanes waits until the other entries have read all replies.
-func (n *Node) finishLanes(ctx context.Context) {
+// finishMuxes waits until the other entries have read all replies.
+func (n *Node) finishMuxes(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	n.engine.Finish()
-	n.await(ctx, func() bool { return n.engine.Lanes() == 0 })
+	n.await(ctx, func() bool { return n.engine.Muxes() == 0 })
 }
 
 // await polls until done returns true or ctx ends.
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -16,7 +16,7 @@
 // wireTypes are all messages between nodes but those of the replicated log.
 func wireTypes() []any {
 	return []any{
-		&conn.Head{}, &conn.Ask{}, &conn.Told{}, &conn.Write{}, &conn.Reply{}, &ctrl.Greeting{}, &hub.Up{}, &hub.Down{},
+		&conn.Head{}, &conn.Request{}, &conn.Response{}, &conn.Write{}, &conn.Reply{}, &ctrl.Greeting{}, &hub.Up{}, &hub.Down{},
 		&store.Command{}, &proposeReply{}, &adminRequest{}, &adminReply{}, &peerRequest{}, &peerReply{},
 	}
 }
@@ -25,8 +25,8 @@
 // membership could be to the state that takes it.
 func FuzzWire(f *testing.F) {
 	seeds := []any{
-		conn.Ask{Query: 1, Batch: &conn.Batch{Subs: []conn.Sub{{Attempt: 1}}}},
-		conn.Told{Query: 1, Reply: conn.Reply{Data: []byte(`1`)}},
+		conn.Request{Query: 1, Batch: &conn.Batch{Subs: []conn.Sub{{Attempt: 1}}}},
+		conn.Response{Query: 1, Reply: conn.Reply{Data: []byte(`1`)}},
 		store.Command{Claim: &store.Claim{ID: "c", Key: store.WriteKey{Key: "k"}}},
 		store.Command{Blame: &store.Blame{}},
 		store.Command{Change: &vers.Change{ID: "x", Edits: []vers.Edit{{}, {Set: &vers.Default{Key: vers.KeyHedgeBudget, Value: 1}}}}},
--- a/internal/reqst/engine.go
+++ b/internal/reqst/engine.go
@@ -64,8 +64,8 @@
 	windows  map[tier.Service]*stats.Window
 	suspects map[tier.Fingerprint]store.Suspect
 	next     atomic.Uint64
-	lanes    conn.Lanes
-	served   conn.Server
+	muxes    conn.Muxes
+	muxConn  conn.MuxServer
 	open     atomic.Int64
 }
 
@@ -75,7 +75,7 @@
 	e.retries = map[tier.Service]*Budget{}
 	e.windows = map[tier.Service]*stats.Window{}
 	e.suspects = map[tier.Fingerprint]store.Suspect{}
-	e.lanes.Mesh = e.Mesh
+	e.muxes.Mesh = e.Mesh
 	e.serveBatches()
 	e.Board.Start()
 	e.Gate.Rate = e.rate
--- a/internal/reqst/remote.go
+++ b/internal/reqst/remote.go
@@ -18,21 +18,21 @@
 // to be set up first.
 func (g *gather) askRemote(ctx context.Context, b *batch, msg *conn.Batch) {
 	out := g.replies
-	lanes := &g.engine.lanes
-	h := lanes.NewHandle(b.peer, b.subs, func(r conn.Reply) { deliver(ctx, out, r) })
+	muxes := &g.engine.muxes
+	h := muxes.NewCall(b.peer, b.subs, func(r conn.Reply) { deliver(ctx, out, r) })
 	for _, s := range b.subs {
 		g.cancels[s.Attempt] = func() { h.Cancel(s.Attempt) }
 	}
-	if lanes.Ready(b.peer) {
-		lanes.Ask(ctx, h, msg)
+	if muxes.Ready(b.peer) {
+		muxes.Send(ctx, h, msg)
 		return
 	}
-	g.engine.Workers.Go(func() { lanes.Ask(ctx, h, msg) })
+	g.engine.Workers.Go(func() { muxes.Send(ctx, h, msg) })
 }
 
 // serveBatches readies what answers the batches of other entries.
 func (e *Engine) serveBatches() {
-	e.served = conn.Server{
+	e.muxConn = conn.MuxServer{
 		Clock:  e.Clock,
 		Go:     e.Workers.Go,
 		Opened: func() { e.open.Add(1) },
@@ -41,11 +41,11 @@
 	}
 }
 
-// ServeQuery handles the lane of another entry.
-func (e *Engine) ServeQuery(ctx context.Context, s *conn.Stream) { e.served.Serve(ctx, s) }
+// ServeQuery handles the mux of another entry.
+func (e *Engine) ServeQuery(ctx context.Context, s *conn.Stream) { e.muxConn.Serve(ctx, s) }
 
-// Finish ends the lanes of other entries once their replies have gone out.
-func (e *Engine) Finish() { e.served.Finish() }
+// Finish ends the muxes of other entries once their replies have gone out.
+func (e *Engine) Finish() { e.muxConn.Finish() }
 
-// Lanes returns the number of lanes of other entries.
-func (e *Engine) Lanes() int { return e.served.Lanes() }
+// Muxes returns the number of muxes of other entries.
+func (e *Engine) Muxes() int { return e.muxConn.Muxes() }
