--- a/internal/conn/muxserver.go
+++ b/internal/conn/muxserver.go
@@ -8,7 +8,8 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
-// MuxServer answers the batches that come on muxes. Lock order: mu, then a muxConn mux's mu.
+// MuxServer answers the batches that come on multiplexed streams. Lock order:
+// mu, then a muxConn's mu.
 type MuxServer struct {
 	// Clock gives the time.
 	Clock tier.Clock
@@ -23,7 +24,7 @@
 	muxes map[*muxConn]bool
 }
 
-// muxConn is a mux at its owner.
+// muxConn is a multiplexed stream at the owner's end.
 type muxConn struct {
 	server *MuxServer
 	out    *outbox
@@ -33,13 +34,13 @@
 	left    map[uint64]int
 }
 
-// subKey names a sub-query on a mux.
+// subKey names a sub-query on a multiplexed stream.
 type subKey struct {
 	query   uint64
 	attempt int
 }
 
-// Serve handles one mux until the entry ends it; what still runs then is cancelled.
+// Serve handles one multiplexed stream until the entry ends it; what still runs then is cancelled.
 func (v *MuxServer) Serve(ctx context.Context, s *Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -58,7 +59,7 @@
 	l.out.end()
 }
 
-// Finish ends all muxes once the replies on them have gone out. Each is gone
+// Finish ends all streams once the replies on them have gone out. Each is gone
 // when the entry has read them.
 func (v *MuxServer) Finish() {
 	v.mu.Lock()
@@ -68,7 +69,7 @@
 	}
 }
 
-// Muxes returns the number of muxes that are muxConn.
+// Muxes returns the number of streams that are served.
 func (v *MuxServer) Muxes() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
