A plan no longer looks through all attempts after every reply

Cause: Plan.Next and cancelOthers walked all attempts for each of a query's replies; for 200 shards that was nearly all of the plan's own time. Change: the plan keeps the earliest time at which Tick is needed; replies leave it as it is (a Tick that finds nothing due costs one walk), sends and Tick move it. A shard without open attempts has nothing to cancel. Ruled out: a heap of times (every reply would have to find and remove its entry). A failed step on the way: after the only death was cleared, hedges were due earlier than the kept time. The new check in TestPlanProperties (Next is never later than what is due) found it with 20,000 checks; the time is worked out anew there now.

--- a/internal/reqst/death.go
+++ b/internal/reqst/death.go
@@ -39,6 +39,7 @@
 	p.parts[held].held = false
 	p.deaths = 0
 	p.acts = append(p.acts, Action{Kind: ActClear})
+	p.wake = p.nextDue()
 	if p.parts[held].open > 0 {
 		return
 	}
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -110,6 +110,7 @@
 	overload bool
 	ran      bool
 	queued   time.Duration
+	wake     time.Duration
 	acts     []Action
 	left     []tier.Candidate
 }
@@ -120,6 +121,7 @@
 	p.attempts = make([]attempt, 0, len(p.parts)+len(p.parts)/8+1)
 	p.acts = make([]Action, 0, len(p.parts)+1)
 	p.canary = -1
+	p.wake = p.Terms.Deadline
 	if p.Terms.Suspect {
 		p.startCanary(now)
 		return p.take()
@@ -172,6 +174,7 @@
 	if !hedge {
 		pt.hedgeAt = now + p.Terms.HedgeDelay
 	}
+	p.wakeBy(pt, now)
 	p.attempts = append(p.attempts, attempt{shard: shard, server: id, sent: now, hedge: hedge, open: true})
 	p.acts = append(p.acts, Action{Kind: ActSend, Attempt: len(p.attempts) - 1, Shard: tier.Shard(shard), Server: id, Solo: solo, Hedge: hedge})
 	return true
@@ -239,6 +242,9 @@
 }
 
 func (p *Plan) cancelOthers(shard int, byHedge bool) {
+	if p.parts[shard].open == 0 {
+		return
+	}
 	for i := range p.attempts {
 		a := &p.attempts[i]
 		if a.open && a.shard == shard {
--- a/internal/reqst/plan_test.go
+++ b/internal/reqst/plan_test.go
@@ -70,6 +70,7 @@
 		take(p.Start(now))
 		for i := 0; !p.Finished(); i++ {
 			require.Less(t, i, 1000)
+			require.LessOrEqual(t, p.Next(), p.nextDue(), "Tick would be called too late")
 			id := rapid.IntRange(0, 12).Draw(t, "attempt")
 			s, is := open[id]
 			if !is {
--- a/internal/reqst/timing.go
+++ b/internal/reqst/timing.go
@@ -10,8 +10,20 @@
 // mostHedges bounds the hedges of one sub-query: the first may meet a straggler too.
 const mostHedges = 2
 
-// Next returns when Tick must be called next.
-func (p *Plan) Next() time.Duration {
+// Next returns when Tick must be called next. It may be earlier than anything
+// is due, since replies do not put it off; it is never later.
+func (p *Plan) Next() time.Duration { return p.wake }
+
+// wakeBy has Tick called by the time at which an attempt just sent is hedged or given up.
+func (p *Plan) wakeBy(pt *part, sent time.Duration) {
+	p.wake = min(p.wake, sent+p.Terms.Timeout)
+	if p.Terms.HedgeDelay > 0 {
+		p.wake = min(p.wake, pt.hedgeAt)
+	}
+}
+
+// nextDue looks through all that is open for what is due first.
+func (p *Plan) nextDue() time.Duration {
 	next := p.Terms.Deadline
 	for i := range p.attempts {
 		if a := &p.attempts[i]; a.open {
@@ -48,6 +60,7 @@
 		p.hedges(now)
 	}
 	p.settle()
+	p.wake = p.nextDue()
 	return p.take()
 }
 
