--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -24,6 +24,9 @@
 	tryPause = 100 * time.Millisecond
 )
 
+// ErrNoEntry says that an entry named none to use, as when all are draining.
+var ErrNoEntry = errors.New("no entry to use")
+
 // StatusError is an answer with an unexpected status.
 type StatusError struct {
 	Status int
@@ -131,7 +134,11 @@
 	var last error
 	for _, e := range append(append([]string(nil), list...), c.Entries...) {
 		var a tier.EntriesAnswer
-		if last = c.Do(ctx, e, http.MethodGet, "/v1/entries", nil, &a); last == nil {
+		last = c.Do(ctx, e, http.MethodGet, "/v1/entries", nil, &a)
+		if last == nil && len(a.Addresses) == 0 {
+			last = tier.At("ask for entries", e, ErrNoEntry)
+		}
+		if last == nil {
 			c.mu.Lock()
 			c.list, c.until = a.Addresses, time.Now().Add(a.TTLMs.Duration())
 			c.mu.Unlock()
