Bounds on what a server's shards and a caller's service names can fill

Cause: found by reading. An announcement could claim 65,535 shards in each of 64 holdings, for which every node of the fleet makes lists; a caller could make a counter and histograms for every service name it invents.

--- a/internal/proc/lease/lease.go
+++ b/internal/proc/lease/lease.go
@@ -18,6 +18,8 @@
 	MostSlots               = 10000
 	MostNameLen             = 200
 	MostHolding             = 64
+	// MostShards bounds a snapshot, for which every node keeps a list of servers a shard.
+	MostShards tier.Shard = 10000
 )
 
 type held struct {
@@ -109,6 +111,9 @@
 
 func checkHoldings(list []tier.Holding) error {
 	for i, h := range list {
+		if h.Snapshot.Shards > MostShards {
+			return errors.Errorf("holdings[%d]: at most %d shards are allowed", i, MostShards)
+		}
 		if h.Snapshot.Shards == 0 || h.Shard >= h.Snapshot.Shards {
 			return errors.Errorf("holdings[%d]: shard %d is not below %d", i, h.Shard, h.Snapshot.Shards)
 		}
--- a/internal/proc/stats/registry.go
+++ b/internal/proc/stats/registry.go
@@ -12,26 +12,49 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
-// MaxSeries bounds the histograms; what comes beyond is counted as "other".
-const MaxSeries = 1000
+// Bounds of the registry; what comes beyond is counted as "other".
+const (
+	MaxSeries   = 1000
+	MaxCounters = 10000
+)
 
 const otherName = "other"
 
+// UnknownService is the label of requests for services that no server has announced.
+const UnknownService tier.Service = "unknown"
+
 // Registry holds counters and histograms by name and label.
 type Registry struct {
 	mu       sync.Mutex
 	counters metrics.Registry
+	known    map[string]bool
 	series   map[string]*Histogram
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{counters: metrics.NewRegistry(), series: map[string]*Histogram{}}
+	return &Registry{counters: metrics.NewRegistry(), known: map[string]bool{}, series: map[string]*Histogram{}}
 }
 
 // Count adds one to the counter name{label}.
 func (r *Registry) Count(name, label string) {
-	metrics.GetOrRegisterCounter(name+"\x00"+label, r.counters).Inc(1)
+	metrics.GetOrRegisterCounter(r.counterKey(name, label), r.counters).Inc(1)
+}
+
+// counterKey returns the key of a counter, or that of the name's "other" one
+// where there are too many.
+func (r *Registry) counterKey(name, label string) string {
+	key := name + "\x00" + label
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known[key] {
+		return key
+	}
+	if len(r.known) >= MaxCounters {
+		return name + "\x00" + otherName
+	}
+	r.known[key] = true
+	return key
 }
 
 // Counter returns the value of the counter name{label}.
--- a/internal/reqst/engine.go
+++ b/internal/reqst/engine.go
@@ -125,6 +125,14 @@
 	return tier.RequestID(string(e.Self) + "-" + strconv.FormatUint(uint64(e.Instance), 36) + "-" + strconv.FormatUint(n, 36))
 }
 
+// serviceLabel keeps callers from filling the statistics with services that do not exist.
+func (e *Engine) serviceLabel(s tier.Service) tier.Service {
+	if e.Fleet.Catalog().Known(s) {
+		return s
+	}
+	return stats.UnknownService
+}
+
 // Fingerprint returns the fingerprint of a request's content.
 func Fingerprint(s tier.Service, body []byte) tier.Fingerprint {
 	var d xxhash.Digest
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -26,7 +26,7 @@
 	if ans.Missing == nil {
 		ans.Missing = []tier.MissingShard{}
 	}
-	e.Stats.Request(a, q.Service, q.Class, ans.Outcome, ans.Reason, e.Clock.Now()-began)
+	e.Stats.Request(a, e.serviceLabel(q.Service), q.Class, ans.Outcome, ans.Reason, e.Clock.Now()-began)
 	return ans
 }
 
--- a/internal/reqst/write.go
+++ b/internal/reqst/write.go
@@ -44,7 +44,7 @@
 	if ans.Outcome != tier.Done && ans.RetryAfterMs == 0 {
 		ans.RetryAfterMs = tier.ToMillis(leastRetryAfter)
 	}
-	e.Stats.Request(a, w.Service, tier.ClassNormal, ans.Outcome, ans.Reason, e.Clock.Now()-began)
+	e.Stats.Request(a, e.serviceLabel(w.Service), tier.ClassNormal, ans.Outcome, ans.Reason, e.Clock.Now()-began)
 	return ans
 }
 
