Links: one owner of the idle connections, one way to start a goroutine

Read again as a whole: the pool and its transport both held the connections set up ahead, and the two drops were called in pairs; the transport owns them now. spares.dial still had http.Transport's signature. The headers of a sub-query were put together twice per request, once to send and once to compare; the answer is compared with what was sent. Sender.reopen is sendOn, used for both tries. Mesh counted its goroutines by hand beside Mesh.Go.

--- a/internal/conn/mesh.go
+++ b/internal/conn/mesh.go
@@ -100,8 +100,7 @@
 	}
 	m.links = map[tier.NodeID]*link{}
 	m.ctx, m.cancel = context.WithCancel(ctx)
-	m.wait.Add(1)
-	go m.accept()
+	m.Go(m.accept)
 	return nil
 }
 
@@ -125,7 +124,6 @@
 }
 
 func (m *Mesh) accept() {
-	defer m.wait.Done()
 	for {
 		c, err := m.listener.Accept(m.ctx)
 		if err != nil {
@@ -134,14 +132,12 @@
 			}
 			continue
 		}
-		m.wait.Add(1)
-		go m.serve(c)
+		m.Go(func() { m.serve(c) })
 	}
 }
 
 // serve accepts streams of one connection until it ends.
 func (m *Mesh) serve(c *quic.Conn) {
-	defer m.wait.Done()
 	from, err := peerName(c)
 	if err != nil {
 		if m.Refused != nil {
@@ -156,8 +152,7 @@
 		if err != nil {
 			return
 		}
-		m.wait.Add(1)
-		go m.handle(c.Context(), newStream(s, from))
+		m.Go(func() { m.handle(c.Context(), newStream(s, from)) })
 	}
 }
 
@@ -170,7 +165,6 @@
 }
 
 func (m *Mesh) handle(ctx context.Context, s *Stream) {
-	defer m.wait.Done()
 	defer s.Close()
 	var h Head
 	if err := s.Recv(&h); err != nil {
@@ -225,7 +219,7 @@
 	return nil
 }
 
-// Go runs a function that ends when its stream does; Close waits for it.
+// Go runs a function that ends when its link or stream does; Close waits for it.
 func (m *Mesh) Go(f func()) {
 	m.wait.Add(1)
 	go func() {
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -35,7 +35,6 @@
 	server    tier.Announcement
 	clock     tier.Clock
 	transport transport
-	spares    *spares
 
 	mu      sync.Mutex
 	slots   Slots
@@ -55,7 +54,6 @@
 		scheme = "https"
 	}
 	return &Pool{
-		spares:    ahead,
 		server:    s,
 		clock:     clock,
 		transport: transport{ahead: ahead, base: url.URL{Scheme: scheme, Host: s.Address}},
@@ -153,7 +151,7 @@
 // refill has connections set up ahead where the server's limit leaves room for them.
 func (p *Pool) refill() {
 	if p.server.Conns >= p.server.Slots+spareTarget {
-		p.spares.refill()
+		p.transport.ahead.refill()
 	}
 }
 
@@ -176,7 +174,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.slots.Close(why)
-	p.spares.drop(true)
 	p.transport.drop(true)
 }
 
--- a/internal/conn/search.go
+++ b/internal/conn/search.go
@@ -68,14 +68,15 @@
 		return
 	}
 	p.release(t, a.status == http.StatusOK)
-	takeSearch(b, s, a, rep)
+	takeSearch(h, b.Snapshot, a, rep)
 	if rep.Fate != FateDone && rep.Reason == tier.ReasonTruncated {
 		o.Rejected(s.Server, b.Request, rep.Reason)
 	}
 }
 
-// takeSearch checks that an answer is whole and is that of this sub-query.
-func takeSearch(b *Batch, s Sub, a answer, rep *Reply) {
+// takeSearch checks that an answer is whole and is that of the request with the header sent.
+func takeSearch(sent http.Header, snap tier.Snapshot, a answer, rep *Reply) {
+	same := func(key string) bool { return a.header.Get(key) == sent.Get(key) }
 	switch {
 	case a.status == http.StatusConflict:
 		rep.Fate, rep.Reason = FateNotRun, tier.ReasonVersion
@@ -87,17 +88,15 @@
 		rep.fail(tier.ReasonServerError)
 		return
 	}
-	want := strconv.Itoa(int(s.Shard)) + "/" + strconv.Itoa(int(b.Snapshot.Shards))
-	version := strconv.FormatUint(uint64(b.Snapshot.Version), 10)
-	if a.header.Get(tier.HeaderRequestID) != string(b.Request) || a.header.Get(tier.HeaderShard) != want {
+	if !same(tier.HeaderRequestID) || !same(tier.HeaderShard) {
 		rep.fail(tier.ReasonTruncated)
 		return
 	}
-	if a.header.Get(tier.HeaderVersion) != version {
+	if !same(tier.HeaderVersion) {
 		rep.fail(tier.ReasonVersion)
 		return
 	}
-	rep.Fate, rep.Data, rep.Snapshot = FateDone, json.RawMessage(a.body), b.Snapshot
+	rep.Fate, rep.Data, rep.Snapshot = FateDone, json.RawMessage(a.body), snap
 }
 
 // searchFailed tells apart a cancelled sub-query, a silent connection, a
@@ -132,7 +131,6 @@
 // have lost track of the others.
 func (o *Owner) silent(p *Pool, id tier.RequestID) {
 	p.transport.drop(false)
-	p.spares.drop(false)
 	o.Silent(p.server.Server, id)
 }
 
--- a/internal/conn/sender.go
+++ b/internal/conn/sender.go
@@ -77,16 +77,14 @@
 			}
 			return
 		case b := <-q:
-			if st != nil && st.Send(payload{b}) == nil {
+			if sendOn(st, b) {
 				continue
 			}
 			// A stream that broke while nothing was sent must not cost a vote.
-			if st = s.reopen(ctx, to, st); st == nil {
+			st = s.open(ctx, to)
+			if st == nil {
 				s.pause(ctx, q)
-				continue
-			}
-			if st.Send(payload{b}) != nil {
-				st.Cancel()
+			} else if !sendOn(st, b) {
 				st = nil
 			}
 		}
@@ -110,12 +108,16 @@
 	}
 }
 
-// reopen opens a new stream in place of one that broke, if any.
-func (s *Sender) reopen(ctx context.Context, to tier.NodeID, broken *Stream) *Stream {
-	if broken != nil {
-		broken.Cancel()
+// sendOn sends on a stream, if there is one, and cancels it when it has broken.
+func sendOn(st *Stream, b []byte) bool {
+	if st == nil {
+		return false
+	}
+	if st.Send(payload{b}) != nil {
+		st.Cancel()
+		return false
 	}
-	return s.open(ctx, to)
+	return true
 }
 
 func (s *Sender) open(ctx context.Context, to tier.NodeID) *Stream {
--- a/internal/conn/spare.go
+++ b/internal/conn/spare.go
@@ -41,7 +41,7 @@
 }
 
 // dial returns a connection that was set up ahead and still lives, or a new one.
-func (s *spares) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+func (s *spares) dial(ctx context.Context) (net.Conn, error) {
 	for {
 		c := s.take()
 		if c == nil {
--- a/internal/conn/spare_test.go
+++ b/internal/conn/spare_test.go
@@ -52,7 +52,7 @@
 		defer s.mu.Unlock()
 		return !quiet(s.ready[0].conn) && !quiet(s.ready[1].conn)
 	})
-	c, err := s.dial(context.Background(), "tcp", l.Addr().String())
+	c, err := s.dial(context.Background())
 	require.NoError(t, err, "connections that the server closed are passed over")
 	require.Zero(t, count())
 	require.True(t, quiet(c))
--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -53,7 +53,7 @@
 		}
 		_ = c.conn.Close()
 	}
-	c, err := l.ahead.dial(ctx, "", "")
+	c, err := l.ahead.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -95,8 +95,9 @@
 	l.idle = append(l.idle[:0], l.idle[n:]...)
 }
 
-// drop closes the idle connections; with last, later ones too.
+// drop closes the idle connections and those set up ahead; with last, later ones too.
 func (l *transport) drop(last bool) {
+	l.ahead.drop(last)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.idle {
