One rule each for leases, sending, counters and test clients' TLS

The rule that a node may send to a server, and how long a lease lasts, stood in hub.View, which the traces and property tests run, and again in fleet.Fleet, which the daemon runs; both call hub.MaySend and hub.LeaseLeft now. View.Owner had no caller left. The statistics kept a second table of the counters' keys and took a lock on every count; the registry itself says which counters exist, and the lock is taken for new ones only. The system tests made their clients' TLS configuration twice. The bound on counters is checked as before, on the registry.

--- a/internal/proc/fleet/fleet.go
+++ b/internal/proc/fleet/fleet.go
@@ -206,7 +206,7 @@
 
 // LeaseLeft returns how long the node's own lease is still in force.
 func (f *Fleet) LeaseLeft() time.Duration {
-	return hub.NodeLease - (f.Clock.Now() - time.Duration(f.renewed.Load()))
+	return hub.LeaseLeft(f.Clock.Now(), time.Duration(f.renewed.Load()))
 }
 
 // SetPeers notes what the peers made known to a node without a lease: whether
@@ -218,8 +218,7 @@
 
 // MaySend reports whether this node may send to a server now.
 func (f *Fleet) MaySend(id tier.ServerID) bool {
-	since, owned := f.state.Load().since[id]
-	return owned && !f.settled.Load().Less(since) && (f.Leased() || f.alone.Load())
+	return hub.MaySend(f.state.Load().since, *f.settled.Load(), id) && (f.Leased() || f.alone.Load())
 }
 
 // Sendable returns the number of servers that this node may send to now.
--- a/internal/proc/hub/view.go
+++ b/internal/proc/hub/view.go
@@ -41,9 +41,6 @@
 // Known reports whether the view has ever held a published table.
 func (v *View) Known() bool { return v.known }
 
-// Owner returns the node that owns a server, or "".
-func (v *View) Owner(s tier.ServerID) tier.NodeID { return v.owners[s] }
-
 // NextBeat numbers a heartbeat that is about to be sent.
 func (v *View) NextBeat(now time.Duration) uint64 {
 	v.beat++
@@ -53,7 +50,10 @@
 
 // Leased reports whether the node's own lease, counted from when the last
 // answered heartbeat was sent, is in force.
-func (v *View) Leased(now time.Duration) bool { return v.leased && now-v.renewed < NodeLease }
+func (v *View) Leased(now time.Duration) bool { return v.leased && LeaseLeft(now, v.renewed) > 0 }
+
+// LeaseLeft returns how long a lease is still in force that was last renewed at a time.
+func LeaseLeft(now, renewed time.Duration) time.Duration { return NodeLease - (now - renewed) }
 
 // Renewed returns the time at which the last answered heartbeat was sent; ok
 // is false when none was answered.
@@ -208,7 +208,11 @@
 func (v *View) Settled() Stamp { return v.settled }
 
 // MaySend reports whether this node owns s and every live node knows that it does.
-func (v *View) MaySend(s tier.ServerID) bool {
-	since, ok := v.since[s]
-	return ok && !v.settled.Less(since)
+func (v *View) MaySend(s tier.ServerID) bool { return MaySend(v.since, v.settled, s) }
+
+// MaySend reports whether a node with these servers, each owned since a state,
+// owns s since one that is settled.
+func MaySend(since map[tier.ServerID]Stamp, settled Stamp, s tier.ServerID) bool {
+	at, owned := since[s]
+	return owned && !settled.Less(at)
 }
--- a/internal/proc/stats/registry.go
+++ b/internal/proc/stats/registry.go
@@ -27,34 +27,37 @@
 type Registry struct {
 	mu       sync.Mutex
 	counters metrics.Registry
-	known    map[string]bool
+	counts   int
 	series   map[string]*Histogram
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{counters: metrics.NewRegistry(), known: map[string]bool{}, series: map[string]*Histogram{}}
+	return &Registry{counters: metrics.NewRegistry(), series: map[string]*Histogram{}}
 }
 
 // Count adds one to the counter name{label}.
 func (r *Registry) Count(name, label string) {
-	metrics.GetOrRegisterCounter(r.counterKey(name, label), r.counters).Inc(1)
+	key := name + "\x00" + label
+	if c, ok := r.counters.Get(key).(metrics.Counter); ok {
+		c.Inc(1)
+		return
+	}
+	r.newCounter(name, key).Inc(1)
 }
 
-// counterKey returns the key of a counter, or that of the name's "other" one
-// where there are too many.
-func (r *Registry) counterKey(name, label string) string {
-	key := name + "\x00" + label
+// newCounter adds a counter; where there are too many it is the name's "other" one.
+func (r *Registry) newCounter(name, key string) metrics.Counter {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.known[key] {
-		return key
-	}
-	if len(r.known) >= MaxCounters {
-		return name + "\x00" + otherName
+	switch {
+	case r.counters.Get(key) != nil:
+	case r.counts >= MaxCounters:
+		key = name + "\x00" + otherName
+	default:
+		r.counts++
 	}
-	r.known[key] = true
-	return key
+	return metrics.GetOrRegisterCounter(key, r.counters)
 }
 
 // Counter returns the value of the counter name{label}.
--- a/internal/proc/stats/stats_test.go
+++ b/internal/proc/stats/stats_test.go
@@ -55,7 +55,13 @@
 		r.Request(tier.Account(fmt.Sprint("a", i)), "s", "", tier.Done, tier.ReasonNone, time.Millisecond)
 	}
 	require.LessOrEqual(t, len(r.Series()), MaxSeries+1)
-	require.LessOrEqual(t, len(r.known), MaxCounters)
+	counters := 0
+	r.counters.Each(func(key string, _ any) {
+		if _, label := split(key); label != otherName {
+			counters++
+		}
+	})
+	require.LessOrEqual(t, counters, MaxCounters)
 	require.Equal(t, int64(1), r.Counter("n", "0"))
 	require.Positive(t, r.Counter("n", otherName))
 	var b bytes.Buffer
--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -311,13 +312,18 @@
 // transport returns one that all clients of a secure fleet share.
 func (f *fleet) transport() *http.Transport {
 	f.once.Do(func() {
-		conf, err := (&conn.Certs{CA: f.ca()}).ClientConfig(nil, "")
-		require.NoError(f.t, err)
-		f.secure = &http.Transport{TLSClientConfig: conf}
+		f.secure = &http.Transport{TLSClientConfig: f.clientTLS()}
 	})
 	return f.secure
 }
 
+// clientTLS trusts the fleet's CA.
+func (f *fleet) clientTLS() *tls.Config {
+	conf, err := (&conn.Certs{CA: f.ca()}).ClientConfig(nil, "")
+	require.NoError(f.t, err)
+	return conf
+}
+
 func (f *fleet) context() context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	f.t.Cleanup(cancel)
--- a/internal/system/tls_test.go
+++ b/internal/system/tls_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
-	"os"
 	"os/exec"
 	"testing"
 
@@ -40,11 +38,7 @@
 
 // serial returns the serial number of the certificate that callers are shown.
 func (f *fleet) serial(p *process) string {
-	pem, err := os.ReadFile(f.ca())
-	require.NoError(f.t, err)
-	pool := x509.NewCertPool()
-	require.True(f.t, pool.AppendCertsFromPEM(pem))
-	c, err := tls.Dial("tcp", p.callers, &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13})
+	c, err := tls.Dial("tcp", p.callers, f.clientTLS())
 	require.NoError(f.t, err)
 	defer func() { _ = c.Close() }()
 	return c.ConnectionState().PeerCertificates[0].SerialNumber.String()
