--- a/internal/proc/quorum/main_test.go
+++ b/internal/proc/quorum/main_test.go
@@ -1,17 +1,13 @@
 package quorum
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"sassafrasring.dev/sassafrasring/internal/seed"
 )
 
-// TestMain fixes the seed of the property tests, unless one is given.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := flag.Lookup("rapid.seed")
-	if seed.Value.String() == seed.DefValue {
-		_ = seed.Value.Set("20261204")
-	}
+	seed.Fix()
 	os.Exit(m.Run())
 }
