Only commands that reach entries read the client's certificates

Cause: the client was made before every command. With SASSAFRASRING_CA naming a file that cannot be read, or SASSAFRASRING_CERT alone, even serve and version ended with an error: work of the client's done at the daemon's start. Change: options.client makes it where it is used, and config set before it says anything of an outcome. Before: version with --ca /none failed. After: it works; commands that need entries still name the flags (TestExitCodes, four cases more).

--- a/internal/cmdln/caller.go
+++ b/internal/cmdln/caller.go
@@ -24,7 +24,11 @@
 			ctx, cancel := o.context()
 			defer cancel()
 			q := tier.QueryRequest{Service: tier.Service(args[0]), Body: json.RawMessage(args[1]), Class: tier.Class(class), DeadlineMs: tier.ToMillis(deadline)}
-			a, err := o.client().Query(ctx, q)
+			c, err := o.client()
+			if err != nil {
+				return err
+			}
+			a, err := c.Query(ctx, q)
 			if err != nil {
 				return err
 			}
@@ -66,7 +70,11 @@
 			if key == "" {
 				w.Key, w.FirstSend = newID(), true
 			}
-			a, err := o.client().Write(ctx, w)
+			c, err := o.client()
+			if err != nil {
+				return err
+			}
+			a, err := c.Write(ctx, w)
 			if err != nil {
 				return errors.Wrapf(err, "outcome not known; send again with --key %s", w.Key)
 			}
--- a/internal/cmdln/cmdln_test.go
+++ b/internal/cmdln/cmdln_test.go
@@ -32,6 +32,10 @@
 		{"not a number", []string{"config", "set", "hedge.budget=x"}, ExitUsage, "", "KEY=VALUE"},
 		{"query that is not JSON", []string{"query", "s", "{"}, ExitUsage, "", "not JSON"},
 		{"no entry reached", []string{"status", "-e", "127.0.0.1:1", "--timeout", "300ms"}, ExitFailed, "", "127.0.0.1:1"},
+		{"certificate without CA", []string{"status", "--cert", "x"}, ExitUsage, "", "--ca"},
+		{"CA that cannot be read", []string{"status", "--ca", "/none"}, ExitFailed, "", "--ca"},
+		{"change with a CA that cannot be read", []string{"config", "set", "hedge.budget=1", "--base", "1", "--ca", "/none"}, ExitFailed, "", "error: --ca"},
+		{"command that reaches no entry", []string{"version", "--ca", "/none"}, ExitOK, "sassafrasring", ""},
 		{"traces", []string{"replay", "../../testdata/traces/straggler.jsonc"}, ExitOK, "as stated", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/cmdln/config.go
+++ b/internal/cmdln/config.go
@@ -55,7 +55,7 @@
 
 func (o *options) getConfig(ctx context.Context) (*vers.Config, error) {
 	var c vers.Config
-	return &c, o.client().Ops(ctx, http.MethodGet, "/v1/ops/config", nil, &c)
+	return &c, o.ops(ctx, http.MethodGet, "/v1/ops/config", &c)
 }
 
 func configGet(o *options) *cobra.Command {
@@ -128,19 +128,23 @@
 func (o *options) change(f *changeFlags, edits []vers.Edit) error {
 	ctx, cancel := o.context()
 	defer cancel()
+	c, err := o.client()
+	if err != nil {
+		return err
+	}
 	ch := vers.Change{ID: tier.ChangeID(f.id), Base: tier.ConfigVersion(f.base), Reason: f.reason, Edits: edits}
 	if ch.ID == "" {
 		ch.ID = tier.ChangeID(newID())
 	}
 	if ch.Base == 0 {
-		c, err := o.getConfig(ctx)
+		now, err := o.getConfig(ctx)
 		if err != nil {
 			return err
 		}
-		ch.Base = c.Version
+		ch.Base = now.Version
 	}
 	var res store.ChangeResult
-	err := o.client().Ops(ctx, http.MethodPost, "/v1/ops/config", ch, &res, http.StatusOK, http.StatusConflict, http.StatusUnprocessableEntity)
+	err = c.Ops(ctx, http.MethodPost, "/v1/ops/config", ch, &res, http.StatusOK, http.StatusConflict, http.StatusUnprocessableEntity)
 	if err != nil {
 		return errors.Wrapf(err, "outcome not known; send again with --change-id %s --base %d", ch.ID, ch.Base)
 	}
@@ -175,7 +179,7 @@
 	path := client.Path("/v1/ops/config/lagging", "version", strconv.FormatUint(uint64(v), 10))
 	for {
 		var l node.Lagging
-		if err := o.client().Ops(ctx, http.MethodGet, path, nil, &l); err != nil {
+		if err := o.ops(ctx, http.MethodGet, path, &l); err != nil {
 			return err
 		}
 		if len(l.Nodes) == 0 {
@@ -191,7 +195,7 @@
 
 func (o *options) history(ctx context.Context) ([]store.Past, error) {
 	var h []store.Past
-	return h, o.client().Ops(ctx, http.MethodGet, "/v1/ops/config/history", nil, &h)
+	return h, o.ops(ctx, http.MethodGet, "/v1/ops/config/history", &h)
 }
 
 func configHistory(o *options) *cobra.Command {
--- a/internal/cmdln/fleet.go
+++ b/internal/cmdln/fleet.go
@@ -19,7 +19,7 @@
 func (o *options) ask(method, path string, out any) error {
 	ctx, cancel := o.context()
 	defer cancel()
-	return o.client().Ops(ctx, method, path, nil, out, http.StatusOK, http.StatusNoContent)
+	return o.ops(ctx, method, path, out, http.StatusOK, http.StatusNoContent)
 }
 
 func statusCommand(o *options) *cobra.Command {
--- a/internal/cmdln/root.go
+++ b/internal/cmdln/root.go
@@ -50,7 +50,6 @@
 	output  string
 	timeout time.Duration
 	certs   conn.Certs
-	http    *http.Client
 	out     io.Writer
 	errs    io.Writer
 }
@@ -89,8 +88,6 @@
 		Version:       node.Version,
 		SilenceErrors: true,
 		SilenceUsage:  true,
-
-		PersistentPreRunE: func(*cobra.Command, []string) error { return o.connect() },
 	}
 	f := root.PersistentFlags()
 	f.StringVarP(&o.entries, "entries", "e", envOr("SASSAFRASRING_ENTRIES", "127.0.0.1:7001"), "addresses of entries, with commas between")
@@ -114,29 +111,31 @@
 	return fallback
 }
 
-// connect readies what carries the requests; with --ca that is HTTPS.
-func (o *options) connect() error {
-	o.http = &http.Client{Timeout: o.timeout}
+// client makes the client of entries; with --ca it speaks HTTPS.
+func (o *options) client() (*client.Client, error) {
+	h := &http.Client{Timeout: o.timeout}
+	c := &client.Client{Entries: strings.Split(o.entries, ","), Name: o.name, Secret: o.secret, HTTP: h}
 	if o.certs.CA == "" {
 		if o.certs.Cert != "" || o.certs.Key != "" {
-			return exit(ExitUsage, errors.New("--cert and --key need --ca"))
+			return nil, exit(ExitUsage, errors.New("--cert and --key need --ca"))
 		}
-		return nil
+		return c, nil
 	}
 	conf, err := o.certs.ClientConfig([]string{"http/1.1"}, "")
 	if err != nil {
-		return errors.Wrap(err, "--ca, --cert, --key")
+		return nil, errors.Wrap(err, "--ca, --cert, --key")
 	}
-	o.http.Transport = &http.Transport{TLSClientConfig: conf}
-	return nil
+	c.Scheme, h.Transport = "https", &http.Transport{TLSClientConfig: conf}
+	return c, nil
 }
 
-func (o *options) client() *client.Client {
-	c := &client.Client{Entries: strings.Split(o.entries, ","), Name: o.name, Secret: o.secret, HTTP: o.http}
-	if o.certs.CA != "" {
-		c.Scheme = "https"
+// ops sends an operator's request to the entries.
+func (o *options) ops(ctx context.Context, method, path string, out any, ok ...int) error {
+	c, err := o.client()
+	if err != nil {
+		return err
 	}
-	return c
+	return c.Ops(ctx, method, path, nil, out, ok...)
 }
 
 func (o *options) context() (context.Context, context.CancelFunc) {
