Routing tables: a declared, versioned document in the replicated log

Cause: the product spreads queries by service name only; on the users' machines operators declare routes by host and path prefix. The store keeps the table as its operator sent it, compressed and opaque; the highest version is in force, and any other changes nothing, so that a table may be sent again after a lost answer.

--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -39,23 +39,30 @@
 	DiskFailed        = Event{106, logrus.ErrorLevel, "control replica stopped by its disk", "A read, write or sync failed, or the state is corrupt. The replica stops; the rest of the node goes on. Repair: OPERATIONS.md, replacing a disk."}
 	CommandBad        = Event{107, logrus.ErrorLevel, "unreadable command skipped", "Fields: index."}
 	ConfigAccepted    = Event{108, logrus.InfoLevel, "configuration accepted", "Fields: version, index."}
+	RoutesAccepted    = Event{110, logrus.InfoLevel, "routing table accepted", "The table is committed. Fields: version, index."}
 	HubOpened         = Event{109, logrus.InfoLevel, "membership hub opened", "This replica leads and gathers the membership. Fields: epoch."}
 )
 
 // Events of nodes: 200 to 299.
 var (
-	NodeStarted     = Event{200, logrus.InfoLevel, "node started", "Fields: node, zone, callers, peers, version."}
-	NodeReady       = Event{201, logrus.InfoLevel, "node ready", "The node has a confirmed configuration and membership and serves callers."}
-	ConfigInForce   = Event{202, logrus.InfoLevel, "configuration in force", "Fields: version."}
-	ControlLost     = Event{203, logrus.WarnLevel, "control lost", "The lease ran out. The node goes on while most entries are reached and none knows of a newer membership."}
-	ControlFound    = Event{204, logrus.InfoLevel, "control reached", "Fields: leader."}
-	NodeIsolated    = Event{205, logrus.WarnLevel, "node isolated", "Neither control nor most entries are reached; requests are refused as not run."}
-	DrainStarted    = Event{206, logrus.InfoLevel, "drain started", "Fields: why."}
-	DrainEnded      = Event{207, logrus.InfoLevel, "drain ended", "Nothing is in flight any more."}
-	PeerRefused     = Event{208, logrus.WarnLevel, "peer refused", "A node's certificate was refused."}
-	NodeStopped     = Event{209, logrus.InfoLevel, "node stopped", ""}
-	ConfigFromPeer  = Event{210, logrus.InfoLevel, "configuration taken from a peer", "Control is not reached, and a peer has a newer accepted version. Fields: version, peer."}
-	SettingsInvalid = Event{211, logrus.ErrorLevel, "settings invalid", "Fields: file, line, key."}
+	NodeStarted       = Event{200, logrus.InfoLevel, "node started", "Fields: node, zone, callers, peers, version."}
+	NodeReady         = Event{201, logrus.InfoLevel, "node ready", "The node has a confirmed configuration and membership and serves callers."}
+	ConfigInForce     = Event{202, logrus.InfoLevel, "configuration in force", "Fields: version."}
+	ControlLost       = Event{203, logrus.WarnLevel, "control lost", "The lease ran out. The node goes on while most entries are reached and none knows of a newer membership."}
+	ControlFound      = Event{204, logrus.InfoLevel, "control reached", "Fields: leader."}
+	NodeIsolated      = Event{205, logrus.WarnLevel, "node isolated", "Neither control nor most entries are reached; requests are refused as not run."}
+	DrainStarted      = Event{206, logrus.InfoLevel, "drain started", "Fields: why."}
+	DrainEnded        = Event{207, logrus.InfoLevel, "drain ended", "Nothing is in flight any more."}
+	PeerRefused       = Event{208, logrus.WarnLevel, "peer refused", "A node's certificate was refused."}
+	NodeStopped       = Event{209, logrus.InfoLevel, "node stopped", ""}
+	ConfigFromPeer    = Event{210, logrus.InfoLevel, "configuration taken from a peer", "Control is not reached, and a peer has a newer accepted version. Fields: version, peer."}
+	RoutesInForce     = Event{212, logrus.InfoLevel, "routing table in force", "Fields: version, routes."}
+	RoutesUnreadable  = Event{213, logrus.ErrorLevel, "routing table unreadable", "A committed routing table cannot be read here; the node keeps the one that it has. Fields: version."}
+	RoutesFetchFailed = Event{214, logrus.WarnLevel, "routing table not fetched", "A peer has a newer routing table and did not hand it on in time; the node asks again."}
+	ReplicaReopens    = Event{215, logrus.WarnLevel, "control replica is opened again", "Its disk had failed."}
+	RoutesRefused     = Event{217, logrus.WarnLevel, "routing table refused", "An operator sent one that is invalid."}
+	HostChanged       = Event{216, logrus.InfoLevel, "host changed", "Another node came, went or changed. Fields: host, state, boot, seq."}
+	SettingsInvalid   = Event{211, logrus.ErrorLevel, "settings invalid", "Fields: file, line, key."}
 )
 
 // Events of servers and requests: 300 to 399.
@@ -74,7 +81,8 @@
 
 // Catalogue lists every event by number.
 var Catalogue = []Event{
-	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotMade, SnapshotInstalled, DiskFailed, CommandBad, ConfigAccepted, HubOpened,
+	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotMade, SnapshotInstalled, DiskFailed, CommandBad, ConfigAccepted, HubOpened, RoutesAccepted,
 	NodeStarted, NodeReady, ConfigInForce, ControlLost, ControlFound, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
+	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopens, HostChanged, RoutesRefused,
 	ServerUp, ServerGone, ServerDied, ServerSilent, AnswerRejected, AnnounceRefused, AccessRefused, RequestPoisonous, WriteUnknown, RecordFailed,
 }
--- a/internal/proc/store/command.go
+++ b/internal/proc/store/command.go
@@ -20,6 +20,7 @@
 	Blame  *Blame       `cbor:"5,keyasint,omitempty"`
 	Clear  *Clear       `cbor:"6,keyasint,omitempty"`
 	Sweep  *Sweep       `cbor:"7,keyasint,omitempty"`
+	Routes *RoutesDoc   `cbor:"8,keyasint,omitempty"`
 }
 
 // WriteKey is the scope within which a caller's key is unique.
@@ -111,4 +112,5 @@
 type Result struct {
 	Change *ChangeResult `cbor:"1,keyasint,omitempty"`
 	Claim  *ClaimResult  `cbor:"2,keyasint,omitempty"`
+	Routes *RoutesResult `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/proc/store/store.go
+++ b/internal/proc/store/store.go
@@ -57,6 +57,7 @@
 	byID    map[tier.ChangeID]int
 	claims  claimTable
 	poison  poisonTable
+	routes  []RoutesDoc
 }
 
 // New returns an empty store at configuration version 0.
@@ -93,6 +94,9 @@
 		s.poison.blame(*c.Blame, s.config, c.NowMs)
 	case c.Clear != nil:
 		s.poison.clear(c.Clear.Fingerprint)
+	case c.Routes != nil:
+		r := s.setRoutes(*c.Routes, c.NowMs)
+		return Result{Routes: &r}
 	case c.Sweep != nil:
 		s.sweep(c.NowMs)
 	}
@@ -196,11 +200,12 @@
 	Poison  []Suspect    `cbor:"6,keyasint"`
 	Deaths  []death      `cbor:"7,keyasint"`
 	LostMs  int64        `cbor:"8,keyasint,omitempty"`
+	Routes  []RoutesDoc  `cbor:"9,keyasint,omitempty"`
 }
 
 // Save encodes the state.
 func (s *Store) Save() ([]byte, error) {
-	v := saved{Config: s.config, History: s.history, Changes: s.changes, LostMs: s.claims.lostMs}
+	v := saved{Config: s.config, History: s.history, Changes: s.changes, LostMs: s.claims.lostMs, Routes: s.routes}
 	v.Claims, v.Marks = s.claims.list()
 	v.Poison, v.Deaths = s.poison.list(), s.poison.deaths
 	return frame.Marshal(v)
@@ -220,6 +225,7 @@
 	s.index()
 	s.claims.load(v.Claims, v.Marks, v.LostMs)
 	s.poison.load(v.Poison, v.Deaths)
+	s.routes = v.Routes
 	return s, nil
 }
 
