The control group steers its own membership

Cause: control hosts were named in the settings; on the users' machines a process knows three seeds only. Change: the seeds of the first start are founders with fixed incarnations, so that any majority of them goes on without a message agreed before; the leader adds live hosts with a disk, replaces wiped ones and retires silent ones where the rest bears the losses asked for. The way by greetings stays for nodes with control hosts in their settings.

--- a/internal/proc/ctrl/apply.go
+++ b/internal/proc/ctrl/apply.go
@@ -57,6 +57,7 @@
 		return err
 	}
 	r.store = st
+	r.tellRoutes()
 	event.SnapshotInstalled.Log(r.Log, nil, logrus.Fields{"index": s.Index})
 	return nil
 }
@@ -94,12 +95,23 @@
 	}
 	before := r.store.Config().Version
 	res := r.store.Apply(c)
+	if res.Routes != nil && res.Routes.Taken {
+		event.RoutesAccepted.Log(r.Log, nil, logrus.Fields{"version": res.Routes.Version, "index": e.Index})
+		r.tellRoutes()
+	}
 	if v := r.store.Config().Version; v != before {
 		event.ConfigAccepted.Log(r.Log, nil, logrus.Fields{"version": v, "index": e.Index})
 	}
 	return res
 }
 
+// tellRoutes hands on the committed routing table, if there is one.
+func (r *Replica) tellRoutes() {
+	if d := r.store.Routes(); d.Version > 0 && r.RoutesChanged != nil {
+		r.RoutesChanged(d)
+	}
+}
+
 func (r *Replica) send(m quorum.Msg) {
 	if m.Kind == quorum.MsgSnap {
 		r.fillSnap(&m)
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -61,6 +61,17 @@
 	CompactAfter int
 	// Ready is closed, if not nil, once the state has been read from disk.
 	Ready chan struct{}
+	// Hosts, if not nil, returns the live hosts that can hold a replica; the
+	// group then steers its own membership, and greets nobody.
+	Hosts func() []quorum.Host
+	// Founders found the group together where Hosts is set; see foundByRule.
+	Founders []tier.NodeID
+	// Tolerance is the number of voters whose loss a steered group must bear.
+	Tolerance int
+	// NoHub leaves the membership of the fleet to others than the leader.
+	NoHub bool
+	// RoutesChanged, if not nil, is told of every routing table that is committed.
+	RoutesChanged func(store.RoutesDoc)
 
 	core  quorum.Core
 	store *store.Store
@@ -171,6 +182,10 @@
 	r.hard = s.Hard
 	r.core.Start(r.Clock.Now(), s.Hard, s.Snap, s.Entries)
 	event.ReplicaStarted.Log(r.Log, nil, logrus.Fields{"replica": id, "last": r.core.LastIndex(), "term": s.Hard.Term})
+	if err := r.foundByRule(); err != nil {
+		return err
+	}
+	r.tellRoutes()
 	if r.Ready != nil {
 		close(r.Ready)
 	}
@@ -213,7 +228,11 @@
 	now := r.Clock.Now()
 	if now-r.greeted >= greetEvery {
 		r.greeted = now
-		r.greet()
+		if r.Hosts != nil {
+			r.steer()
+		} else {
+			r.greet()
+		}
 	}
 	r.tickLeader(now)
 	r.tickHub(now)
--- a/internal/proc/ctrl/found.go
+++ b/internal/proc/ctrl/found.go
@@ -69,15 +69,22 @@
 		}
 		m.Voters = append(m.Voters, id)
 	}
+	if err := r.found(m); err != nil {
+		event.DiskFailed.Log(r.Log, err, nil)
+	}
+}
+
+// found makes m durable as the first entry of the log and starts from it.
+func (r *Replica) found(m quorum.Members) error {
 	hard := quorum.HardState{Term: foundTerm}
 	es := []quorum.Entry{{Index: 1, Term: foundTerm, Kind: quorum.EntryMembers, Members: &m}}
 	if err := r.Folder.Save(&hard, es); err != nil {
-		event.DiskFailed.Log(r.Log, err, nil)
-		return
+		return err
 	}
 	r.hard = hard
 	r.core.Start(r.Clock.Now(), hard, quorum.Snap{}, es)
 	event.ClusterFounded.Log(r.Log, nil, logrus.Fields{"voters": m.Voters})
+	return nil
 }
 
 // tryRepair replaces a voter whose node greets with a new incarnation: the
--- a/internal/proc/ctrl/watch.go
+++ b/internal/proc/ctrl/watch.go
@@ -130,6 +130,9 @@
 
 // tickHub opens the hub once leadership is confirmed, and pushes changes.
 func (r *Replica) tickHub(now time.Duration) {
+	if r.NoHub {
+		return
+	}
 	if r.hub == nil {
 		r.openHub()
 		return
--- a/internal/proc/disk/folder.go
+++ b/internal/proc/disk/folder.go
@@ -31,6 +31,8 @@
 	Path string
 	// Node is the name of the node that the folder belongs to.
 	Node tier.NodeID
+	// Founder gives an empty folder the incarnation of a founder in place of a random one.
+	Founder bool
 	// OpenLog opens the log for appending; nil means the real file.
 	OpenLog func(path string) (tier.File, error)
 
@@ -117,7 +119,10 @@
 	if _, err := rand.Read(b[:]); err != nil {
 		return tier.At("make identity", path, err)
 	}
-	f.id = tier.ReplicaID(string(f.Node) + "#" + hex.EncodeToString(b[:]))
+	f.id = f.Node.Replica(hex.EncodeToString(b[:]))
+	if f.Founder {
+		f.id = f.Node.Replica(tier.FounderIncarnation)
+	}
 	return writeSynced(path, []byte(f.id))
 }
 
--- a/pkg/tier/ids.go
+++ b/pkg/tier/ids.go
@@ -16,6 +16,9 @@
 // Zone names an availability zone.
 type Zone string
 
+// Region names a group of availability zones that are near each other.
+type Region string
+
 // ServerID names one back-end server.
 type ServerID string
 
@@ -65,6 +68,15 @@
 	return NodeID(name)
 }
 
+// FounderIncarnation is the incarnation of the replicas that found a group by
+// rule, which must know each other's ids before any message.
+const FounderIncarnation = "founder"
+
+// Replica returns the id of one incarnation of the node's replica.
+func (n NodeID) Replica(incarnation string) ReplicaID {
+	return ReplicaID(string(n) + "#" + incarnation)
+}
+
 // Millis is a duration in milliseconds, as it stands in settings and on the wire.
 type Millis int64
 
