--- a/internal/cert/cert.go
+++ b/internal/cert/cert.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -137,3 +138,21 @@
 func (m *Maker) file(name, kind string, b []byte, mode os.FileMode) error {
 	return tier.At("write", m.path(name), os.WriteFile(m.path(name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), mode))
 }
+
+// Ephemeral returns a certificate that the node signs itself and keeps in memory only.
+func Ephemeral(name string) (*tls.Certificate, error) {
+	t, err := template(name)
+	if err != nil {
+		return nil, err
+	}
+	t.DNSNames = []string{name}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign certificate of "+name)
+	}
+	return &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, nil
+}
--- a/internal/conn/certs.go
+++ b/internal/conn/certs.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasring.dev/sassafrasring/internal/cert"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -22,6 +23,10 @@
 	// CA, Cert and Key are paths of PEM files. CA may be empty where no peer is
 	// verified; Cert and Key where a client shows no certificate.
 	CA, Cert, Key string
+	// Self, if not empty, replaces the files: the node makes itself a
+	// certificate with this name at its start, and peers are not verified. It is
+	// for networks that only the nodes can reach.
+	Self tier.NodeID
 
 	mu      sync.Mutex
 	checked time.Time
@@ -71,6 +76,10 @@
 }
 
 func (c *Certs) read() (*tls.Certificate, *x509.CertPool, error) {
+	if c.Self != "" {
+		pair, err := cert.Ephemeral(string(c.Self))
+		return pair, nil, err
+	}
 	pair, err := c.readPair()
 	if err != nil || c.CA == "" {
 		return pair, nil, err
@@ -106,7 +115,10 @@
 				return nil, err
 			}
 			conf := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols, Certificates: []tls.Certificate{*pair}}
-			if mutual {
+			switch {
+			case mutual && c.Self != "":
+				conf.ClientAuth = tls.RequireAnyClientCert
+			case mutual:
 				conf.ClientAuth, conf.ClientCAs = tls.RequireAndVerifyClientCert, pool
 			}
 			return conf, nil
@@ -120,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conf := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols, ServerName: peer, RootCAs: pool}
+	conf := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols, ServerName: peer, RootCAs: pool, InsecureSkipVerify: c.Self != ""}
 	if pair != nil {
 		conf.Certificates = []tls.Certificate{*pair}
 	}
--- a/internal/conn/wire.go
+++ b/internal/conn/wire.go
@@ -68,6 +68,8 @@
 	ServedUs int64 `cbor:"10,keyasint"`
 	// WaitUs is the expected wait of the next request for this server, in microseconds.
 	WaitUs int64 `cbor:"11,keyasint"`
+	// Mark is the server's signature of Data, where the platform has one.
+	Mark string `cbor:"12,keyasint,omitempty"`
 }
 
 // Write is a write on its way to the owner of its server.
--- a/internal/reqst/engine.go
+++ b/internal/reqst/engine.go
@@ -177,9 +177,9 @@
 }
 
 // spend returns functions that take from the hedge and retry budgets of a service.
-func (e *Engine) spend(s tier.Service) (hedge, retry func() bool) {
-	take := func(m map[tier.Service]*Budget, name string) func() bool {
-		return func() bool {
+func (e *Engine) spend(s tier.Service) (hedge, retry func(int) bool) {
+	take := func(m map[tier.Service]*Budget, name string) func(int) bool {
+		return func(int) bool {
 			e.mu.Lock()
 			ok := e.budget(m, s).Spend()
 			e.mu.Unlock()
--- /dev/null
+++ b/internal/reqst/extra.go
@@ -0,0 +1,64 @@
+package reqst
+
+import "time"
+
+const (
+	// extraSlots is the number of parts of the sliding window.
+	extraSlots = 20
+	// extraSafety is the share of the allowance that is used: nodes' windows
+	// and servers' counts do not begin at the same moment.
+	extraSafety = 0.9
+)
+
+// Extra limits what is sent beyond the first sub-request of each request, in
+// every sliding window: a ratio of the node's own first ones, and the node's
+// share of a fixed allowance. All nodes together thus stay within the
+// fleet's budget without telling each other. It is pure and not safe for
+// concurrent use.
+type Extra struct {
+	// Window is the length of the window.
+	Window time.Duration
+	// Ratio is the allowed share of first sub-requests.
+	Ratio float64
+
+	first, extra [extraSlots]int
+	at           int64
+}
+
+func (x *Extra) turn(now time.Duration) int {
+	step := x.Window / (extraSlots - 1)
+	at := int64(now / step)
+	if at-x.at >= extraSlots {
+		x.first, x.extra = [extraSlots]int{}, [extraSlots]int{}
+		x.at = at
+	}
+	for x.at < at {
+		x.at++
+		x.first[x.at%extraSlots], x.extra[x.at%extraSlots] = 0, 0
+	}
+	return int(x.at % extraSlots)
+}
+
+// First counts a first sub-request.
+func (x *Extra) First(now time.Duration) { x.first[x.turn(now)]++ }
+
+// Spend takes one extra sub-request; fixed is the node's share of the fixed allowance.
+func (x *Extra) Spend(now time.Duration, fixed float64) bool {
+	i := x.turn(now)
+	if x.Left(now, fixed) < 1 {
+		return false
+	}
+	x.extra[i]++
+	return true
+}
+
+// Left returns how many extra sub-requests may be sent now.
+func (x *Extra) Left(now time.Duration, fixed float64) float64 {
+	x.turn(now)
+	first, extra := 0, 0
+	for i := range x.first {
+		first += x.first[i]
+		extra += x.extra[i]
+	}
+	return extraSafety*(x.Ratio*float64(first)+fixed) - float64(extra)
+}
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -19,6 +19,16 @@
 	Deadline time.Duration
 	// Suspect runs the first sub-query alone before all others.
 	Suspect bool
+	// Attempts is the most servers to which one shard's sub-query is sent; 0 is all.
+	Attempts int
+	// Least is the number of shards without which there is no answer; 0 is
+	// one that may lack any.
+	Least int
+	// Settle is the time from which an answer with Least shards is given
+	// without waiting for the others; 0 is never.
+	Settle time.Duration
+	// Once forbids another try unless the first one did not run.
+	Once bool
 }
 
 // ActionKind is what the driver of a plan must do.
@@ -72,8 +82,10 @@
 	hedgeAt time.Duration
 	hedges  int
 	tried   []tier.ServerID
+	asked   int
 	server  tier.ServerID
 	data    json.RawMessage
+	mark    string
 }
 
 // Unsafe lists mechanisms of a plan that a trace may switch off.
@@ -96,7 +108,7 @@
 	// Select chooses servers.
 	Select func(now time.Duration, shard tier.Shard, list []tier.Candidate) int
 	// Hedge and Retry spend one extra sub-query of the service's budgets.
-	Hedge, Retry func() bool
+	Hedge, Retry func(shard int) bool
 	// Unsafe switches mechanisms off, for traces that show what they prevent.
 	Unsafe Unsafe
 
@@ -107,6 +119,7 @@
 	deaths   int
 	canary   int
 	finished bool
+	settled  bool
 	overload bool
 	ran      bool
 	queued   time.Duration
@@ -122,6 +135,9 @@
 	p.acts = make([]Action, 0, len(p.parts)+1)
 	p.canary = -1
 	p.wake = p.Terms.Deadline
+	if p.Terms.Settle > 0 {
+		p.wake = min(p.wake, p.Terms.Settle)
+	}
 	if p.Terms.Suspect {
 		p.startCanary(now)
 		return p.take()
@@ -163,6 +179,9 @@
 // send picks an untried server for a shard and sends; false means there is none.
 func (p *Plan) send(now time.Duration, shard int, hedge, solo bool) bool {
 	pt := &p.parts[shard]
+	if p.Terms.Attempts > 0 && pt.asked >= p.Terms.Attempts {
+		return false
+	}
 	list := p.untried(shard)
 	i := p.Select(now, tier.Shard(shard), list)
 	if i < 0 {
@@ -171,6 +190,7 @@
 	id := list[i].Server
 	pt.tried = append(pt.tried, id)
 	pt.open++
+	pt.asked++
 	if !hedge {
 		pt.hedgeAt = now + p.Terms.HedgeDelay
 	}
@@ -217,12 +237,18 @@
 	a.open = false
 	p.parts[a.shard].open--
 	p.ran = p.ran || r.Fate != conn.FateNotRun
+	if r.Fate == conn.FateNotRun {
+		p.parts[a.shard].asked--
+	}
 	p.queued = max(p.queued, time.Duration(r.QueuedUs)*time.Microsecond)
 	if r.Fate == conn.FateDone && (r.Snapshot == p.Layout.Snapshot || p.Unsafe.AnySnapshot) {
 		p.won(now, r)
 	} else {
 		p.lost(now, a.shard, r)
 	}
+	if p.settled && p.Covered() {
+		p.giveUp(tier.ReasonDeadline)
+	}
 	p.settle()
 	return p.take()
 }
@@ -230,7 +256,7 @@
 func (p *Plan) won(now time.Duration, r conn.Reply) {
 	shard := p.attempts[r.Attempt].shard
 	pt := &p.parts[shard]
-	pt.done, pt.server, pt.data = true, r.Server, r.Data
+	pt.done, pt.server, pt.data, pt.mark = true, r.Server, r.Data, r.Mark
 	p.done++
 	p.cancelOthers(shard, p.attempts[r.Attempt].hedge)
 	if p.canary == shard {
@@ -274,7 +300,11 @@
 	if pt.done || pt.held || pt.open > 0 {
 		return
 	}
-	if !free(r) && !p.Retry() {
+	if p.Terms.Once && r.Fate != conn.FateNotRun {
+		p.miss(shard, r.Reason)
+		return
+	}
+	if !free(r) && !p.Retry(shard) {
 		p.miss(shard, r.Reason)
 		return
 	}
@@ -312,7 +342,7 @@
 }
 
 func (p *Plan) settle() {
-	if !p.finished && p.done+p.missing == len(p.parts) {
+	if !p.finished && (p.done+p.missing == len(p.parts) || p.failed()) {
 		p.finished = true
 		if p.missing == 0 && p.deaths > 0 {
 			p.acts = append(p.acts, Action{Kind: ActClear})
@@ -321,6 +351,26 @@
 	}
 }
 
+// failed reports whether too many shards are missing for an answer.
+func (p *Plan) failed() bool { return p.Terms.Least > 0 && len(p.parts)-p.missing < p.Terms.Least }
+
+// Covered reports whether the answer has as many shards as it needs.
+func (p *Plan) Covered() bool { return p.done > 0 && p.done >= p.Terms.Least }
+
+// Ran reports whether a server may have run a part.
+func (p *Plan) Ran() bool { return p.ran }
+
+// Marks returns the marks and data of the shards that are covered, in order,
+// and the number of the others.
+func (p *Plan) Marks() (marks []string, data [][]byte, missing int) {
+	for i := range p.parts {
+		if pt := &p.parts[i]; pt.done {
+			marks, data = append(marks, pt.mark), append(data, pt.data)
+		}
+	}
+	return marks, data, len(p.parts) - len(marks)
+}
+
 // Hedged reports whether an attempt is a hedge.
 func (p *Plan) Hedged(attempt int) bool {
 	return attempt >= 0 && attempt < len(p.attempts) && p.attempts[attempt].hedge
--- a/internal/reqst/plan_test.go
+++ b/internal/reqst/plan_test.go
@@ -36,7 +36,7 @@
 				shards[i] = append(shards[i], tier.ServerID(rune('a'+3*i+r)))
 			}
 		}
-		budget := func() bool { return rapid.Bool().Draw(t, "budget") }
+		budget := func(int) bool { return rapid.Bool().Draw(t, "budget") }
 		p := &Plan{
 			Layout: layoutOf(shards), Hedge: budget, Retry: budget,
 			Terms: Terms{HedgeDelay: 10 * time.Millisecond, Timeout: 50 * time.Millisecond, Deadline: 200 * time.Millisecond, Suspect: rapid.Bool().Draw(t, "suspect")},
--- a/internal/reqst/timing.go
+++ b/internal/reqst/timing.go
@@ -25,6 +25,9 @@
 // nextDue looks through all that is open for what is due first.
 func (p *Plan) nextDue() time.Duration {
 	next := p.Terms.Deadline
+	if p.Terms.Settle > 0 && p.done < len(p.parts) && !p.settled {
+		next = min(next, p.Terms.Settle)
+	}
 	for i := range p.attempts {
 		if a := &p.attempts[i]; a.open {
 			next = min(next, a.sent+p.Terms.Timeout)
@@ -55,6 +58,11 @@
 		p.settle()
 		return p.take()
 	}
+	if p.settleDue(now) {
+		p.giveUp(tier.ReasonDeadline)
+		p.settle()
+		return p.take()
+	}
 	p.timeouts(now)
 	if p.mayHedge() {
 		p.hedges(now)
@@ -64,6 +72,16 @@
 	return p.take()
 }
 
+// settleDue reports whether it is time to answer without the shards that are
+// still open; from then on the first reply that covers enough does so.
+func (p *Plan) settleDue(now time.Duration) bool {
+	if p.Terms.Settle == 0 || now < p.Terms.Settle {
+		return false
+	}
+	p.settled = true
+	return p.Covered()
+}
+
 func (p *Plan) timeouts(now time.Duration) {
 	for i := range p.attempts {
 		a := &p.attempts[i]
@@ -89,7 +107,7 @@
 			continue
 		}
 		pt.hedgeAt = now + p.Terms.HedgeDelay
-		if !p.Hedge() {
+		if !p.Hedge(i) {
 			continue
 		}
 		pt.hedges++
--- a/internal/trace/plan.go
+++ b/internal/trace/plan.go
@@ -110,8 +110,8 @@
 	return 0
 }
 
-func spender(n *int) func() bool {
-	return func() bool {
+func spender(n *int) func(int) bool {
+	return func(int) bool {
 		*n--
 		return *n >= 0
 	}
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -37,6 +37,7 @@
 	ReasonPending     Reason = "still_running"
 	ReasonIsolated    Reason = "isolated"
 	ReasonCanceled    Reason = "canceled"
+	ReasonNoRoute     Reason = "no_route"
 )
 
 // QueryRequest is the body of POST /v1/query.
