--- /dev/null
+++ b/internal/edge/node.go
@@ -0,0 +1,268 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/proc/score"
+	"sassafrasring.dev/sassafrasring/internal/proc/spread"
+	"sassafrasring.dev/sassafrasring/internal/proc/stats"
+	"sassafrasring.dev/sassafrasring/internal/proc/work"
+	"sassafrasring.dev/sassafrasring/internal/reqst"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+const (
+	// trimEvery is how often idle connections to servers are looked at.
+	trimEvery = time.Second
+	// leasesMissed is how many announcements a server may miss before its lease ends.
+	leasesMissed = 4
+	// settleWait bounds how long an announcement of a leaving server waits for
+	// all hosts to confirm it; the server waits a second for the answer.
+	settleWait = 300 * time.Millisecond
+	settlePoll = 10 * time.Millisecond
+)
+
+// Listener is one HTTP interface of a node.
+type Listener struct {
+	Address string
+	Handler http.Handler
+}
+
+// Node is one process. Set the exported fields, then call Build and Run.
+type Node struct {
+	// Settings is checked settings.
+	Settings Settings
+	// Log takes events.
+	Log *logrus.Logger
+	// Clock gives the time, and counts while the machine is suspended.
+	Clock tier.Clock
+	// Stats takes latencies and counts.
+	Stats *stats.Registry
+	// Names are the names of the platform's headers.
+	Names tier.HeaderNames
+	// Decode reads a routing table.
+	Decode func(doc []byte) (*vers.Routes, error)
+	// Listeners are the HTTP interfaces; set between Build and Run.
+	Listeners []Listener
+
+	boot       uint64
+	mesh       *conn.Mesh
+	raft       *conn.Sender
+	replica    atomic.Pointer[ctrl.Replica]
+	leaderHint atomic.Pointer[tier.NodeID]
+	gossip     *gossip
+	catalog    *catalog
+	door       *reqst.Door
+	workers    *work.Pool
+	table      atomic.Pointer[table]
+	fetching   atomic.Bool
+	stopping   atomic.Bool
+	stopped    chan struct{}
+	once       sync.Once
+	ctx        context.Context
+	servers    []*http.Server
+}
+
+// Build makes the parts; it must be called once before Run.
+func (n *Node) Build() {
+	n.boot = uint64(time.Now().UnixMilli())
+	n.stopped = make(chan struct{})
+	n.workers = &work.Pool{}
+	n.catalog = &catalog{dialed: func() { n.Stats.Count("server_connections", "opened") }}
+	n.catalog.start()
+	n.gossip = &gossip{settings: &n.Settings, clock: n.Clock, changed: n.membershipChanged}
+	n.mesh = &conn.Mesh{
+		Self: n.Settings.ID, Listen: n.Settings.linkAddress(n.Settings.ID), Certs: &conn.Certs{Self: n.Settings.ID},
+		Refused: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
+	}
+	n.raft = &conn.Sender{Mesh: n.mesh, Kind: kindRaft, Resolve: n.peer}
+	n.mesh.Handlers = map[conn.Kind]conn.Handler{
+		kindRaft:     conn.Receive(n.deliver),
+		kindQuestion: n.serveQuestion,
+		kindTable:    n.serveTable,
+	}
+	n.door = &reqst.Door{
+		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
+		Board: &score.Board{
+			Zone: n.Settings.Zone, Rand: rand.New(rand.NewPCG(n.boot, 1)),
+			Choices: func(tier.Service) bool { return true }, Share: func(tier.Service) int64 { return ejectShare },
+		},
+		Budget: n.Settings.Budget, Entries: n.gossip.live,
+	}
+	n.door.Start()
+}
+
+// ejectShare is the largest share, in permille, of a service's servers that
+// may be avoided: beyond it a fault is more likely on this side.
+const ejectShare = 670
+
+func (n *Node) deliver(_ tier.NodeID, b []byte) {
+	if r := n.replica.Load(); r != nil {
+		r.Deliver(b)
+	}
+}
+
+// membershipChanged takes over what changed in the membership; the membership
+// is locked meanwhile.
+func (n *Node) membershipChanged(eff spread.Effects) {
+	if len(eff.Servers) > 0 {
+		n.catalog.update(eff.Servers)
+	}
+	if eff.Newer != "" {
+		n.fetchRoutes(n.ctx, eff.Newer)
+	}
+}
+
+// Run serves until ctx ends, which is a stop at once, or until Stop was called
+// and the node has drained.
+func (n *Node) Run(ctx context.Context) error {
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.ctx = base
+	n.workers.Start(base)
+	if err := n.mesh.Certs.Load(); err != nil {
+		return err
+	}
+	if err := n.mesh.Start(base); err != nil {
+		return err
+	}
+	s := &n.Settings
+	self := spread.Host{ID: s.ID, Boot: n.boot, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control}
+	if err := n.gossip.start(self, leasesMissed*s.BeatEvery); err != nil {
+		_ = n.mesh.Close()
+		return err
+	}
+	var g run.Group
+	n.actor(ctx, &g, n.untilStopped)
+	n.actor(base, &g, n.raft.Run)
+	n.actor(base, &g, n.gossip.receive)
+	n.actor(base, &g, n.gossip.tick)
+	n.actor(base, &g, n.runReplica)
+	n.actor(base, &g, n.trim)
+	for _, l := range n.Listeners {
+		if err := n.listen(&g, l); err != nil {
+			_ = n.mesh.Close()
+			return err
+		}
+	}
+	event.NodeStarted.Log(n.Log, nil, logrus.Fields{"node": s.ID, "name": s.Name, "zone": s.Zone, "boot": n.boot, "found": s.Found, "seeds": s.Seeds})
+	err := g.Run()
+	cancel()
+	_ = n.mesh.Close()
+	n.workers.Wait()
+	event.NodeStopped.Log(n.Log, err, nil)
+	return err
+}
+
+// actor adds a function that runs until its context ends.
+func (n *Node) actor(ctx context.Context, g *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+func (n *Node) listen(g *run.Group, l Listener) error {
+	sock, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.Address)
+	if err != nil {
+		return tier.At("listen", l.Address, err)
+	}
+	lim := n.Settings.Limits
+	srv := &http.Server{
+		Handler: l.Handler, MaxHeaderBytes: lim.HeaderBytes, ReadHeaderTimeout: lim.HeaderTime, IdleTimeout: lim.IdleTime,
+	}
+	n.servers = append(n.servers, srv)
+	closing := make(chan struct{})
+	g.Add(func() error {
+		err := srv.Serve(sock)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-closing
+			return nil
+		}
+		return err
+	}, func(error) {
+		close(closing)
+		_ = srv.Close()
+	})
+	return nil
+}
+
+// trim closes connections to servers that have been idle for too long.
+func (n *Node) trim(ctx context.Context) error {
+	t := time.NewTicker(trimEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			n.catalog.trim(time.Now())
+		}
+	}
+}
+
+// noteReady tells the fleet whether this node serves callers.
+func (n *Node) noteReady() {
+	ready := n.Ready()
+	n.gossip.change(func(h *spread.Host) { h.Ready = ready })
+}
+
+// Ready reports whether the node serves callers.
+func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() }
+
+// Stopping reports whether the node is leaving.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Beat takes a server's announcement and returns the address for later ones.
+// The announcement of one that is leaving is confirmed once all hosts know.
+func (n *Node) Beat(ctx context.Context, r spread.Server) string {
+	changed := false
+	n.gossip.do(func(now time.Duration, s *spread.State) { changed = s.Beat(now, r) })
+	if changed {
+		event.ServerUp.Log(n.Log, nil, logrus.Fields{"server": r.ID, "service": r.Service, "zone": r.Zone, "address": r.Address, "state": r.State, "born": r.Born, "seq": r.Seq})
+	}
+	if changed && r.State != spread.ServerReady {
+		n.settle(ctx)
+	}
+	if n.stopping.Load() {
+		return ""
+	}
+	return n.Settings.Control
+}
+
+// Leave takes a server's farewell.
+func (n *Node) Leave(ctx context.Context, id tier.ServerID) {
+	known := false
+	n.gossip.do(func(now time.Duration, s *spread.State) { known = s.Leave(now, id) })
+	if known {
+		event.ServerGone.Log(n.Log, nil, logrus.Fields{"server": id})
+		n.settle(ctx)
+	}
+}
+
+// settle waits until all live hosts have confirmed the latest news, for a while.
+func (n *Node) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	t := time.NewTicker(settlePoll)
+	defer t.Stop()
+	for n.gossip.pending() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
