--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -20,13 +20,13 @@
 func pickEntries(hosts []spread.Host, zone tier.Zone, region tier.Region) []string {
 	near := func(h *spread.Host) bool { return h.Zone == zone }
 	same := func(h *spread.Host) bool { return h.Region == region }
-	any := func(*spread.Host) bool { return true }
+	all := func(*spread.Host) bool { return true }
 	for _, take := range []func(*spread.Host) bool{near, same} {
 		if list := addresses(hosts, take); len(list) >= leastEntries {
 			return list
 		}
 	}
-	return addresses(hosts, any)
+	return addresses(hosts, all)
 }
 
 func addresses(hosts []spread.Host, take func(*spread.Host) bool) []string {
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -106,7 +106,7 @@
 // Tick greets seeds, probes hosts, repeats pushes and ends leases.
 func (s *State) Tick(now time.Duration) {
 	if gap := now - s.ticked; gap > downAfter {
-		s.slept(now, gap)
+		s.slept(gap)
 	}
 	s.ticked = now
 	s.greet(now)
@@ -122,7 +122,7 @@
 }
 
 // slept gives all who may have spoken while this host did not run their time again.
-func (s *State) slept(now, gap time.Duration) {
+func (s *State) slept(gap time.Duration) {
 	for _, e := range s.servers {
 		e.heard += gap
 	}
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -60,7 +60,6 @@
 type probe struct {
 	open  bool
 	since time.Duration
-	last  time.Duration
 }
 
 // State is one node's membership. Set the exported fields, then call Start.
@@ -218,7 +217,7 @@
 		if e.rec.State == ServerGone || r.Seq < e.seq {
 			return false
 		}
-		if r.Seq <= e.rec.Seq && !(e.rec.Live() && e.rec.sameFor(&r)) {
+		if r.Seq <= e.rec.Seq && (!e.rec.Live() || !e.rec.sameFor(&r)) {
 			return false
 		}
 		e.seq, e.heard = r.Seq, now
