--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -11,9 +11,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -53,6 +55,8 @@
 	Body []byte
 	// Names are the names of the platform's headers.
 	Names *tier.HeaderNames
+	// Once says that the request must not run twice.
+	Once bool
 }
 
 // hopHeaders concern one connection only and are not forwarded.
@@ -130,11 +134,72 @@
 
 // directConn is a connection to a server; it carries one request at a time.
 type directConn struct {
-	conn  net.Conn
+	conn  *net.TCPConn
+	raw   syscall.RawConn
 	r     *bufio.Reader
-	idle  time.Time
 	until time.Time
-	used  bool
+	// pending is a request that goes out with the next read.
+	pending []byte
+}
+
+func newDirectConn(c *net.TCPConn) (*directConn, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	d := &directConn{conn: c, raw: raw}
+	d.r = bufio.NewReaderSize(d, directBuffer)
+	return d, nil
+}
+
+// Read reads from the connection. A pending request is written first, inside
+// the wait for readiness: its answer cannot be there yet, so that the read
+// which would find nothing is left out.
+func (c *directConn) Read(p []byte) (n int, err error) {
+	if len(c.pending) == 0 {
+		return c.conn.Read(p)
+	}
+	b := c.pending
+	c.pending = nil
+	var werr, rerr error
+	written := false
+	err = c.raw.Read(func(fd uintptr) bool {
+		if !written {
+			written = true
+			var k int
+			k, werr = ignoreInterrupt(func() (int, error) { return unix.Write(int(fd), b) })
+			b = b[max(k, 0):]
+			return len(b) > 0
+		}
+		n, rerr = ignoreInterrupt(func() (int, error) { return unix.Read(int(fd), p) })
+		return !errors.Is(rerr, unix.EAGAIN)
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case len(b) > 0 && (werr == nil || errors.Is(werr, unix.EAGAIN)):
+		if _, err := c.conn.Write(b); err != nil {
+			return 0, err
+		}
+		return c.conn.Read(p)
+	case werr != nil:
+		return 0, werr
+	case rerr != nil:
+		return 0, rerr
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// ignoreInterrupt repeats a system call that a signal has interrupted.
+func ignoreInterrupt(call func() (int, error)) (int, error) {
+	for {
+		n, err := call()
+		if !errors.Is(err, unix.EINTR) {
+			return n, err
+		}
+	}
 }
 
 // Direct holds one node's own connections to one server.
@@ -187,7 +252,7 @@
 	defer d.mu.Unlock()
 	kept := d.idle[:0]
 	for _, c := range d.idle {
-		if now.After(c.until) || !quiet(c.conn) {
+		if now.After(c.until) {
 			_ = c.conn.Close()
 			continue
 		}
@@ -217,9 +282,12 @@
 	d.idle = append(d.idle, c)
 }
 
-func (d *Direct) get(ctx context.Context) (*directConn, error) {
+// get returns an idle connection or a new one. Only for a request that must
+// not run twice is an idle one looked at first: another one can be repeated if
+// the server has closed the connection meanwhile.
+func (d *Direct) get(ctx context.Context, o *Outgoing) (*directConn, error) {
 	for c := d.take(); c != nil; c = d.take() {
-		if time.Now().Before(c.until) && c.r.Buffered() == 0 && quiet(c.conn) {
+		if time.Now().Before(c.until) && (!o.Once || quiet(c.conn)) {
 			return c, nil
 		}
 		_ = c.conn.Close()
@@ -235,14 +303,14 @@
 	if d.Dialed != nil {
 		d.Dialed()
 	}
-	return &directConn{conn: c, r: bufio.NewReaderSize(c, directBuffer)}, nil
+	return newDirectConn(c.(*net.TCPConn))
 }
 
 // Do sends a request and reads its whole answer. The connection is closed
 // when ctx ends, which cancels the request at the server. An error that is
 // not ErrNotSent leaves open whether the request has run.
 func (d *Direct) Do(ctx context.Context, o *Outgoing, left time.Duration) (Answer, error) {
-	c, err := d.get(ctx)
+	c, err := d.get(ctx, o)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -260,7 +328,6 @@
 }
 
 func (c *directConn) exchange(o *Outgoing, server tier.ServerID, left time.Duration) (resp Answer, reuse bool, err error) {
-	c.used = true
 	b := make([]byte, 0, len(o.Head)+len(o.Body)+128)
 	b = append(b, o.Head...)
 	b = appendField(b, o.Names.Deadline, strconv.FormatInt(int64(tier.ToMillis(max(left, time.Millisecond))), 10))
@@ -271,9 +338,7 @@
 	b = append(b, o.Body...)
 	written := make(chan error, 1)
 	if len(o.Body) < longBody {
-		if _, err := c.conn.Write(b); err != nil {
-			return Answer{}, false, tier.At("write request", string(server), err)
-		}
+		c.pending = b
 		written <- nil
 	} else {
 		go func() {
@@ -362,7 +427,7 @@
 // setIdle notes until when the server keeps the connection while it is unused.
 func (c *directConn) setIdle(h http.Header) {
 	now := time.Now()
-	c.idle, c.until = now, now.Add(IdleConn)
+	c.until = now.Add(IdleConn)
 	for _, f := range strings.Split(h.Get("Keep-Alive"), ",") {
 		v, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout=")
 		if !ok {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,7 +15,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
-	"sassafrasring.dev/sassafrasring/internal/proc/score"
+	"sassafrasring.dev/sassafrasring/internal/proc/pace"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
@@ -97,19 +96,11 @@
 	}
 	n.door = &reqst.Door{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
-		Board: &score.Board{
-			Zone: n.Settings.Zone, Rand: rand.New(rand.NewPCG(n.boot, 1)),
-			Choices: func(tier.Service) bool { return true }, Share: func(tier.Service) int64 { return ejectShare },
-		},
+		Board:  &pace.Board{Zone: n.Settings.Zone},
 		Budget: n.Settings.Budget, Entries: n.gossip.live,
 	}
-	n.door.Start()
 }
 
-// ejectShare is the largest share, in permille, of a service's servers that
-// may be avoided: beyond it a fault is more likely on this side.
-const ejectShare = 670
-
 func (n *Node) deliver(_ tier.NodeID, b []byte) {
 	if r := n.replica.Load(); r != nil {
 		r.Deliver(b)
@@ -128,12 +119,13 @@
 }
 
 // Run serves until ctx ends, which is a stop at once, or until Stop was called
-// and the node has drained.
-func (n *Node) Run(ctx context.Context) error {
+// and the node has drained. The actors run for as long.
+func (n *Node) Run(ctx context.Context, actors ...func(context.Context) error) error {
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	n.ctx = base
 	n.workers.Start(base)
+	n.door.Start(base)
 	if err := n.mesh.Certs.Load(); err != nil {
 		return err
 	}
@@ -153,6 +145,9 @@
 	n.actor(base, &g, n.gossip.tick)
 	n.actor(base, &g, n.runReplica)
 	n.actor(base, &g, n.trim)
+	for _, f := range actors {
+		n.actor(base, &g, f)
+	}
 	for _, l := range n.Listeners {
 		if err := n.listen(&g, l); err != nil {
 			_ = n.mesh.Close()
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -14,7 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
-	"sassafrasring.dev/sassafrasring/internal/proc/score"
+	"sassafrasring.dev/sassafrasring/internal/proc/pace"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -25,8 +25,19 @@
 	// briefRetry is told to callers of a node that is not ready yet or finds no
 	// server: membership news take a few hundred milliseconds.
 	briefRetry = 300 * time.Millisecond
-	// replyRoom is the room for replies beyond one a shard.
-	replyRoom = 8
+	// guessShare is the share of a route's target that its answers are taken to
+	// last before the first one: servers are given work that fits its target.
+	guessShare = 4
+	// wayShare is the share of the target that is left for the way to the caller
+	// and back, leastWay the least: a new connection over 3 ms one way.
+	wayShare = 8
+	leastWay = 10 * time.Millisecond
+	// lingerTimes is how many usual times a sub-request that is no longer needed
+	// may run on, within leastLinger and mostLinger: most pauses of servers are
+	// over by then.
+	lingerTimes = 4
+	leastLinger = 40 * time.Millisecond
+	mostLinger  = 300 * time.Millisecond
 )
 
 // Directory gives the servers of services as the node knows them.
@@ -81,17 +92,19 @@
 	// Stats takes latencies and counts.
 	Stats *stats.Registry
 	// Board holds observations; guarded by mu.
-	Board *score.Board
+	Board *pace.Board
 	// Budget limits extra sub-requests of each service.
 	Budget Allowance
 	// Entries returns the number of live nodes that share the budget.
 	Entries func() int
 
-	mu      sync.Mutex
-	extras  map[tier.Service]*Extra
-	windows map[string]*stats.Window
-	started time.Duration
-	open    atomic.Int64
+	mu       sync.Mutex
+	extras   map[tier.Service]*Extra
+	usual    map[string]*pace.Median
+	started  time.Duration
+	failures failureLimit
+	base     context.Context
+	open     atomic.Int64
 }
 
 // Allowance is the fleet's budget of extra sub-requests for each service:
@@ -102,10 +115,11 @@
 	Window time.Duration
 }
 
-// Start readies the door.
-func (d *Door) Start() {
+// Start readies the door; sub-requests end with ctx.
+func (d *Door) Start(ctx context.Context) {
+	d.base = ctx
 	d.extras = map[tier.Service]*Extra{}
-	d.windows = map[string]*stats.Window{}
+	d.usual = map[string]*pace.Median{}
 	d.started = d.Clock.Now()
 	d.Board.Start()
 }
@@ -131,15 +145,20 @@
 	return x
 }
 
-func (d *Door) window(route string) *stats.Window {
+func (d *Door) median(route string) *pace.Median {
+	m := d.usual[route]
+	if m == nil {
+		m = &pace.Median{}
+		d.usual[route] = m
+	}
+	return m
+}
+
+// kind returns what placing goes by for a route.
+func (d *Door) kind(r *vers.Route) pace.Kind {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := d.windows[route]
-	if w == nil {
-		w = stats.NewWindow()
-		d.windows[route] = w
-	}
-	return w
+	return pace.Kind{Base: max(d.median(r.Name).Value(r.Target/guessShare), time.Millisecond), Target: r.Target}
 }
 
 // Forward answers one request.
@@ -154,8 +173,10 @@
 	if r == nil {
 		return Outbound{Status: http.StatusNotFound, Reason: tier.ReasonNoRoute}
 	}
-	f := &flight{door: d, route: r, in: in}
-	return f.run(ctx)
+	f := &flight{door: d, route: r, in: in, table: table.Version}
+	out := f.run(ctx)
+	f.log(&out)
+	return out
 }
 
 func refusal(why tier.Reason, after time.Duration) Outbound {
@@ -169,12 +190,16 @@
 	in       *Inbound
 	out      *conn.Outgoing
 	services []tier.Service
+	kind     pace.Kind
+	// target is when an answer is worth less, deadline when it is worth nothing.
+	target   time.Duration
 	deadline time.Duration
 	plan     *Plan
-	replies  chan directReply
+	replies  chan *directReply
 	cancels  map[int]context.CancelFunc
-	sent     map[int]time.Duration
 	failure  *conn.Answer
+	table    vers.RoutesVersion
+	trail    trail
 }
 
 // directReply is a reply with the whole answer of the server.
@@ -186,30 +211,38 @@
 func (f *flight) run(ctx context.Context) Outbound {
 	d, r := f.door, f.route
 	now := d.Clock.Now()
-	left := r.Timeout
-	if f.in.Left > 0 {
-		left = min(left, f.in.Left)
-	}
-	f.deadline = now + left
+	f.trail.began = now
+	f.times(now)
+	f.kind = d.kind(r)
 	f.services = r.Services()
 	if len(r.Split) > 0 {
 		f.services = []tier.Service{drawPart(r.Split)}
 	}
-	layout := f.layout()
+	layout, servers := f.layout()
 	f.out = conn.NewOutgoing(&d.Names, f.in.Method, f.in.Target, f.in.Host, f.in.ID, f.in.Header, f.in.Body)
-	f.plan = &Plan{Layout: layout, Terms: f.terms(now), Select: f.pick, Hedge: f.spend, Retry: f.spend}
-	f.replies = make(chan directReply, len(f.services)+replyRoom)
+	f.out.Once = !r.Idempotent
+	f.plan = &Plan{Layout: layout, Terms: f.terms(), Select: f.pick, Hedge: f.hedge, Retry: f.spend}
+	f.replies = make(chan *directReply, servers)
 	f.cancels = make(map[int]context.CancelFunc, len(f.services))
-	f.sent = make(map[int]time.Duration, len(f.services))
 	f.countFirst(now)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.do(ctx, now, f.plan.Start(now))
+	f.do(now, f.plan.Start(now))
 	f.loop(ctx)
-	f.endAll()
+	f.endAll(ctx)
 	return f.answer()
 }
 
+// times works out when the answer is due. What the caller has waited already
+// is the part of the route's time that it no longer has.
+func (f *flight) times(now time.Duration) {
+	r := f.route
+	left := r.Timeout
+	if f.in.Left > 0 {
+		left = min(left, f.in.Left)
+	}
+	f.deadline = now + left
+	f.target = now + r.Target - (r.Timeout - left)
+}
+
 // drawPart chooses a service of a split by weight.
 func drawPart(split []vers.Part) tier.Service {
 	sum := 0.0
@@ -225,24 +258,26 @@
 	return split[len(split)-1].Service
 }
 
-func (f *flight) layout() *vers.Layout {
-	l := &vers.Layout{Shards: make([][]tier.Candidate, len(f.services))}
+// layout returns the servers of each service, and their number.
+func (f *flight) layout() (l *vers.Layout, servers int) {
+	l = &vers.Layout{Shards: make([][]tier.Candidate, len(f.services))}
 	for i, s := range f.services {
 		l.Shards[i] = f.door.Directory.Candidates(s)
+		servers += len(l.Shards[i])
 	}
-	return l
+	return l, servers
 }
 
 // terms returns what the plan goes by.
-func (f *flight) terms(now time.Duration) Terms {
+func (f *flight) terms() Terms {
 	r := f.route
 	t := Terms{Deadline: f.deadline, Timeout: f.deadline, Attempts: max(1, r.Attempts), Once: !r.Idempotent}
 	if r.Idempotent {
-		t.HedgeDelay = f.hedgeDelay(now)
+		t.HedgeDelay = time.Duration(hedgeEarly * float64(f.kind.Base))
 	}
 	if len(r.Gather) > 0 {
 		t.Least = leastParts(r)
-		t.Settle = f.settleAt(now)
+		t.Settle = f.target - max(r.Target/wayShare, leastWay)
 	}
 	return t
 }
@@ -258,34 +293,6 @@
 	return n
 }
 
-// hedgeRank is the quantile, in permille, after which a sub-request is
-// hedged: it leaves half of a budget of one in five for bursts.
-const doorHedgeRank = 900
-
-func (f *flight) hedgeDelay(now time.Duration) time.Duration {
-	q, ok := f.door.window(f.route.Name).Quantile(now, doorHedgeRank)
-	if !ok {
-		q = f.route.Target / 3
-	}
-	return max(q, time.Millisecond)
-}
-
-// settleAt returns when an answer that lacks parts is better than one that
-// comes after the target: the target less what the caller has waited already
-// and what the way back takes.
-func (f *flight) settleAt(now time.Duration) time.Duration {
-	r := f.route
-	spent := time.Duration(0)
-	if f.in.Left > 0 && f.in.Left < r.Timeout {
-		spent = r.Timeout - f.in.Left
-	}
-	left := r.Target - spent - r.Target/8
-	if left <= 0 {
-		return 0
-	}
-	return now + left
-}
-
 func (f *flight) countFirst(now time.Duration) {
 	d := f.door
 	d.mu.Lock()
@@ -304,27 +311,37 @@
 	return d.extra(f.services[shard]).Spend(now, d.fixed(now))
 }
 
-func (f *flight) pick(now time.Duration, shard tier.Shard, list []tier.Candidate) int {
+// hedge decides whether a shard's sub-request is worth a second server.
+func (f *flight) hedge(now time.Duration, shard int, waited time.Duration) bool {
+	d := f.door
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x, fixed := d.extra(f.services[shard]), d.fixed(now)
+	h := hedging{Base: f.kind.Base, Waited: waited, Left: f.target - now, Fill: x.Fill(now, fixed)}
+	return h.due() && x.Spend(now, fixed)
+}
+
+func (f *flight) pick(now time.Duration, _ tier.Shard, list []tier.Candidate) int {
 	f.door.mu.Lock()
 	defer f.door.mu.Unlock()
-	return f.door.Board.Pick(now, f.services[shard], shard, list)
+	return f.door.Board.Pick(now, f.kind, list)
 }
 
 // loop feeds replies and time to the plan until it has finished or the caller went away.
 func (f *flight) loop(ctx context.Context) {
 	clock := f.door.Clock
-	timer := time.NewTimer(f.plan.Next() - clock.Now())
-	defer timer.Stop()
 	wake := f.plan.Next()
+	timer := time.NewTimer(wake - clock.Now())
+	defer timer.Stop()
 	for !f.plan.Finished() {
 		select {
 		case r := <-f.replies:
 			now := clock.Now()
-			f.observe(now, &r)
-			f.do(ctx, now, f.plan.Reply(now, r.Reply))
+			f.take(now, r)
+			f.do(now, f.plan.Reply(now, r.Reply))
 		case <-timer.C:
 			now := clock.Now()
-			f.do(ctx, now, f.plan.Tick(now))
+			f.do(now, f.plan.Tick(now))
 			wake = 0
 		case <-ctx.Done():
 			f.plan.Abort()
@@ -337,48 +354,137 @@
 	}
 }
 
-func (f *flight) do(ctx context.Context, now time.Duration, acts []Action) {
+// take keeps what the caller may get unchanged.
+func (f *flight) take(now time.Duration, r *directReply) {
+	f.trail.ended(now, r.Attempt, r.Reason)
+	delete(f.cancels, r.Attempt)
+	if len(f.route.Gather) == 0 && (r.Fate == conn.FateDone || r.Reason == tier.ReasonServerError) {
+		f.failure = &r.answer
+	}
+}
+
+func (f *flight) do(now time.Duration, acts []Action) {
 	for _, a := range acts {
 		switch a.Kind {
 		case ActSend:
-			f.send(ctx, now, a)
+			f.send(now, a)
 		case ActCancel:
-			f.cancel(now, a)
+			f.release(a.Attempt)
 		case ActClear, ActFinish:
 		}
 	}
 }
 
-func (f *flight) send(ctx context.Context, now time.Duration, a Action) {
+func (f *flight) send(now time.Duration, a Action) {
 	d := f.door
-	f.sent[a.Attempt] = now
 	d.mu.Lock()
 	d.Board.Sent(a.Server)
 	d.mu.Unlock()
-	sctx, cancel := context.WithCancel(ctx)
+	f.trail.sent(now, a)
+	ctx, cancel := context.WithCancel(d.base)
 	f.cancels[a.Attempt] = cancel
-	out, left := f.replies, f.deadline-now
+	ask := asking{door: d, out: f.out, kind: f.kind, route: f.route.Name, action: a, sent: now, deadline: f.deadline}
+	replies := f.replies
 	d.Workers.Go(func() {
 		defer cancel()
-		rep := d.ask(sctx, f.out, a, left)
-		select {
-		case out <- rep:
-		case <-ctx.Done():
-		}
+		// There is room for one reply of each server, so this never waits.
+		replies <- ask.run(ctx)
 	})
 }
 
-// ask sends a sub-request to a server and tells what became of it.
-func (d *Door) ask(ctx context.Context, o *conn.Outgoing, a Action, left time.Duration) directReply {
-	rep := directReply{Reply: conn.Reply{Attempt: a.Attempt, Shard: a.Shard, Server: a.Server, Fate: conn.FateFailed}}
-	direct := d.Directory.Direct(a.Server)
-	if direct == nil {
+// release lets a sub-request that is no longer needed run on for a while: its
+// connection can be used again then, and its time tells of the server.
+func (f *flight) release(attempt int) {
+	cancel := f.cancels[attempt]
+	if cancel == nil {
+		return
+	}
+	delete(f.cancels, attempt)
+	time.AfterFunc(min(max(lingerTimes*f.kind.Base, leastLinger), mostLinger), cancel)
+}
+
+// endAll lets go of what is still open; for a caller that has gone away
+// nothing runs on.
+func (f *flight) endAll(ctx context.Context) {
+	for attempt, cancel := range f.cancels {
+		if ctx.Err() != nil {
+			cancel()
+			continue
+		}
+		f.release(attempt)
+	}
+}
+
+// asking is one sub-request on its way to a server.
+type asking struct {
+	door     *Door
+	out      *conn.Outgoing
+	kind     pace.Kind
+	route    string
+	action   Action
+	sent     time.Duration
+	deadline time.Duration
+}
+
+// run sends the sub-request and tells what became of it.
+func (a *asking) run(ctx context.Context) *directReply {
+	d := a.door
+	rep := &directReply{Reply: conn.Reply{Attempt: a.action.Attempt, Shard: a.action.Shard, Server: a.action.Server, Fate: conn.FateFailed}}
+	if direct := d.Directory.Direct(a.action.Server); direct != nil {
+		var err error
+		rep.answer, err = direct.Do(ctx, a.out, a.deadline-a.sent)
+		d.judge(rep, err)
+	} else {
 		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonNoOwner
-		return rep
 	}
-	ans, err := direct.Do(ctx, o, left)
-	rep.answer = ans
+	a.observe(rep)
+	return rep
+}
+
+// observe tells the board what the reply says of its server.
+func (a *asking) observe(rep *directReply) {
+	d, id := a.door, a.action.Server
+	now := d.Clock.Now()
+	took := now - a.sent
+	ratio := float64(took) / float64(a.kind.Base)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.Board
+	b.Ended(id)
 	switch {
+	case rep.Fate == conn.FateDone:
+		b.Answered(now, id, ratio)
+		b.Reported(now, id, parseLoad(rep.answer.Header.Get(d.Names.Load)))
+		if !a.action.Hedge {
+			d.median(a.route).Add(took)
+		}
+	case rep.Reason == tier.ReasonShed:
+		b.Shed(now, id)
+	case rep.Reason == tier.ReasonCanceled:
+		b.Slower(now, id, ratio)
+	default:
+		b.Failed(now, id)
+	}
+}
+
+// parseLoad reads a server's load: running, waiting, slots.
+func parseLoad(s string) pace.Load {
+	var v [3]int
+	for i := range v {
+		field, rest, _ := strings.Cut(s, ",")
+		n, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil {
+			return pace.Load{}
+		}
+		v[i], s = n, rest
+	}
+	return pace.Load{Running: v[0], Waiting: v[1], Slots: v[2]}
+}
+
+// judge tells what an answer or its absence means.
+func (d *Door) judge(rep *directReply, err error) {
+	h := rep.answer.Header
+	switch s := rep.answer.Status; {
 	case errors.Is(err, conn.ErrNotSent):
 		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonLost
 	case errors.Is(err, context.Canceled):
@@ -387,97 +493,16 @@
 		rep.Reason = tier.ReasonTruncated
 	case err != nil:
 		rep.Reason = tier.ReasonLost
-	default:
-		d.judge(&rep)
-	}
-	return rep
-}
-
-// judge tells what an answer means.
-func (d *Door) judge(rep *directReply) {
-	h := rep.answer.Header
-	rep.Mark = h.Get(d.Names.Signature)
-	switch s := rep.answer.Status; {
 	case s == http.StatusMisdirectedRequest:
 		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonNoOwner
 	case h.Get(d.Names.NotRun) != "":
 		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonShed
 	case s >= http.StatusInternalServerError:
 		rep.Reason = tier.ReasonServerError
-	case s < http.StatusMultipleChoices && (rep.Mark == "" || h.Get("Content-Encoding") != ""):
+	case s < http.StatusMultipleChoices && (h.Get(d.Names.Signature) == "" || h.Get("Content-Encoding") != ""):
 		rep.Reason = tier.ReasonTruncated
 	default:
-		rep.Fate, rep.Data = conn.FateDone, rep.answer.Body
-	}
-}
-
-// observe tells the board what a reply says of its server.
-func (f *flight) observe(now time.Duration, r *directReply) {
-	sent, open := f.sent[r.Attempt]
-	if !open {
-		return
-	}
-	delete(f.sent, r.Attempt)
-	delete(f.cancels, r.Attempt)
-	if r.Reason == tier.ReasonServerError {
-		f.failure = &r.answer
-	}
-	if r.Fate == conn.FateDone && len(f.route.Gather) == 0 {
-		f.failure = &r.answer
-	}
-	d := f.door
-	if r.Fate == conn.FateDone && !f.plan.Hedged(r.Attempt) {
-		d.window(f.route.Name).Record(now, now-sent)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch {
-	case r.Fate == conn.FateDone:
-		d.Board.Succeeded(now, r.Server, now-sent, 0)
-	case r.Reason == tier.ReasonLost || r.Reason == tier.ReasonNoOwner:
-		d.Board.Lost(now, r.Server)
-	case r.Reason == tier.ReasonServerError || r.Reason == tier.ReasonTruncated:
-		d.Board.Failed(now, r.Server)
-	default:
-		d.Board.Ended(r.Server)
-	}
-}
-
-func (f *flight) cancel(now time.Duration, a Action) {
-	if c := f.cancels[a.Attempt]; c != nil {
-		c()
-		delete(f.cancels, a.Attempt)
-	}
-	sent, open := f.sent[a.Attempt]
-	if !open {
-		return
-	}
-	delete(f.sent, a.Attempt)
-	d := f.door
-	if a.Cause == CauseBeaten {
-		// Without the losers' times the quantile would fall with every hedge, and ask for more of them.
-		d.window(f.route.Name).Record(now, now-sent)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if a.Cause == CauseBeaten {
-		d.Board.Beaten(now, a.Server)
-		return
-	}
-	d.Board.Ended(a.Server)
-}
-
-// endAll closes the books on what is still open.
-func (f *flight) endAll() {
-	for id, c := range f.cancels {
-		c()
-		delete(f.cancels, id)
-	}
-	d := f.door
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id := range f.sent {
-		d.Board.Ended(f.plan.attempts[id].server)
+		rep.Fate, rep.Data, rep.Mark = conn.FateDone, rep.answer.Body, h.Get(d.Names.Signature)
 	}
 }
 
--- a/internal/reqst/extra.go
+++ b/internal/reqst/extra.go
@@ -54,11 +54,25 @@
 
 // Left returns how many extra sub-requests may be sent now.
 func (x *Extra) Left(now time.Duration, fixed float64) float64 {
+	allowed, spent := x.count(now, fixed)
+	return allowed - spent
+}
+
+// Fill returns the share of the allowance that is left, from 0 to 1.
+func (x *Extra) Fill(now time.Duration, fixed float64) float64 {
+	allowed, spent := x.count(now, fixed)
+	if allowed <= 0 {
+		return 0
+	}
+	return max(0, 1-spent/allowed)
+}
+
+func (x *Extra) count(now time.Duration, fixed float64) (allowed, spent float64) {
 	x.turn(now)
-	first, extra := 0, 0
+	first := 0
 	for i := range x.first {
 		first += x.first[i]
-		extra += x.extra[i]
+		spent += float64(x.extra[i])
 	}
-	return extraSafety*(x.Ratio*float64(first)+fixed) - float64(extra)
+	return extraSafety * (x.Ratio*float64(first) + fixed), spent
 }
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -115,7 +115,7 @@
 	e := g.engine
 	now := e.Clock.Now()
 	hedge, retry := e.spend(g.query.Service)
-	g.plan = &Plan{Layout: l, Terms: e.terms(now, g.deadline, g.query.Service, g.suspect), Select: g.pick, Hedge: hedge, Retry: retry}
+	g.plan = &Plan{Layout: l, Terms: e.terms(now, g.deadline, g.query.Service, g.suspect), Select: g.pick, Hedge: hedgeBy(hedge), Retry: retry}
 	g.replies = make(chan conn.Reply, len(l.Shards)+8)
 	g.cancels = make(map[int]func(), len(l.Shards))
 	g.sent = make(map[int]time.Duration, len(l.Shards))
@@ -147,6 +147,11 @@
 	}
 }
 
+// hedgeBy hedges whatever the budget allows.
+func hedgeBy(spend func(int) bool) func(time.Duration, int, time.Duration) bool {
+	return func(_ time.Duration, shard int, _ time.Duration) bool { return spend(shard) }
+}
+
 func (g *gather) pick(now time.Duration, shard tier.Shard, list []tier.Candidate) int {
 	e := g.engine
 	e.mu.Lock()
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -79,8 +79,10 @@
 	missing bool
 	reason  tier.Reason
 	open    int
+	sentAt  time.Duration
 	hedgeAt time.Duration
 	hedges  int
+	shed    bool
 	tried   []tier.ServerID
 	asked   int
 	server  tier.ServerID
@@ -107,8 +109,11 @@
 	Terms Terms
 	// Select chooses servers.
 	Select func(now time.Duration, shard tier.Shard, list []tier.Candidate) int
-	// Hedge and Retry spend one extra sub-query of the service's budgets.
-	Hedge, Retry func(shard int) bool
+	// Hedge decides whether a sub-query that has waited is hedged, and spends
+	// one extra sub-query of the budget for it.
+	Hedge func(now time.Duration, shard int, waited time.Duration) bool
+	// Retry spends one extra sub-query of the budget.
+	Retry func(shard int) bool
 	// Unsafe switches mechanisms off, for traces that show what they prevent.
 	Unsafe Unsafe
 
@@ -192,7 +197,7 @@
 	pt.open++
 	pt.asked++
 	if !hedge {
-		pt.hedgeAt = now + p.Terms.HedgeDelay
+		pt.sentAt, pt.hedgeAt = now, now+p.Terms.HedgeDelay
 	}
 	p.wakeBy(pt, now)
 	p.attempts = append(p.attempts, attempt{shard: shard, server: id, sent: now, hedge: hedge, open: true})
@@ -291,7 +296,7 @@
 	pt := &p.parts[shard]
 	pt.reason = r.Reason
 	if r.Reason == tier.ReasonOverload || r.Reason == tier.ReasonShed {
-		p.overload = true
+		p.overload, pt.shed = true, true
 	}
 	if r.Died && !p.Unsafe.RetryDeaths {
 		p.died(now, shard)
@@ -371,6 +376,14 @@
 	return marks, data, len(p.parts) - len(marks)
 }
 
+// Tally returns how many parts are there and missing, and the hedges sent.
+func (p *Plan) Tally() (done, missing, hedges int) {
+	for i := range p.parts {
+		hedges += p.parts[i].hedges
+	}
+	return p.done, len(p.parts) - p.done, hedges
+}
+
 // Hedged reports whether an attempt is a hedge.
 func (p *Plan) Hedged(attempt int) bool {
 	return attempt >= 0 && attempt < len(p.attempts) && p.attempts[attempt].hedge
--- a/internal/reqst/plan_test.go
+++ b/internal/reqst/plan_test.go
@@ -38,7 +38,7 @@
 		}
 		budget := func(int) bool { return rapid.Bool().Draw(t, "budget") }
 		p := &Plan{
-			Layout: layoutOf(shards), Hedge: budget, Retry: budget,
+			Layout: layoutOf(shards), Hedge: func(time.Duration, int, time.Duration) bool { return budget(0) }, Retry: budget,
 			Terms: Terms{HedgeDelay: 10 * time.Millisecond, Timeout: 50 * time.Millisecond, Deadline: 200 * time.Millisecond, Suspect: rapid.Bool().Draw(t, "suspect")},
 			Select: func(_ time.Duration, _ tier.Shard, list []tier.Candidate) int {
 				if len(list) == 0 {
--- a/internal/reqst/timing.go
+++ b/internal/reqst/timing.go
@@ -10,6 +10,10 @@
 // mostHedges bounds the hedges of one sub-query: the first may meet a straggler too.
 const mostHedges = 2
 
+// hedgeSteps is into how many parts the hedge delay falls for asking again
+// after a hedge was put off.
+const hedgeSteps = 4
+
 // Next returns when Tick must be called next. It may be earlier than anything
 // is due, since replies do not put it off; it is never later.
 func (p *Plan) Next() time.Duration { return p.wake }
@@ -37,7 +41,7 @@
 		return next
 	}
 	for i := range p.parts {
-		if pt := &p.parts[i]; !pt.done && pt.hedges < mostHedges && pt.open > 0 {
+		if pt := &p.parts[i]; pt.hedgeable() {
 			next = min(next, pt.hedgeAt)
 		}
 	}
@@ -45,7 +49,7 @@
 }
 
 func (p *Plan) mayHedge() bool {
-	return p.Terms.HedgeDelay > 0 && p.deaths == 0 && p.canary < 0 && !p.overload
+	return p.Terms.HedgeDelay > 0 && p.deaths == 0 && p.canary < 0
 }
 
 // Tick hedges slow sub-queries, gives up silent ones and keeps the deadline.
@@ -96,21 +100,28 @@
 	}
 }
 
+// hedgeable reports whether a part may be hedged now or later; one of which a
+// server refused for want of room is not, since its others are full as well.
+func (pt *part) hedgeable() bool {
+	return !pt.done && !pt.missing && !pt.shed && pt.hedges < mostHedges && pt.open > 0
+}
+
 func (p *Plan) hedges(now time.Duration) {
 	for i := range p.parts {
 		pt := &p.parts[i]
-		if pt.done || pt.hedges >= mostHedges || pt.open == 0 || now < pt.hedgeAt {
+		if !pt.hedgeable() || now < pt.hedgeAt {
 			continue
 		}
-		if len(p.untried(i)) == 0 {
+		if len(p.untried(i)) == 0 || (p.Terms.Attempts > 0 && pt.asked >= p.Terms.Attempts) {
 			pt.hedges = mostHedges
 			continue
 		}
-		pt.hedgeAt = now + p.Terms.HedgeDelay
-		if !p.Hedge(i) {
+		pt.hedgeAt = now + max(p.Terms.HedgeDelay/hedgeSteps, time.Millisecond)
+		if !p.Hedge(now, i, now-pt.sentAt) {
 			continue
 		}
 		pt.hedges++
+		pt.hedgeAt = now + p.Terms.HedgeDelay
 		p.send(now, i, true, false)
 	}
 }
--- a/internal/trace/plan.go
+++ b/internal/trace/plan.go
@@ -72,7 +72,7 @@
 	m.plan = &reqst.Plan{
 		Layout: l,
 		Terms:  reqst.Terms{HedgeDelay: s.HedgeMs.Duration(), Timeout: s.TimeoutMs.Duration(), Deadline: s.DeadlineMs.Duration(), Suspect: s.Suspect},
-		Select: firstOf, Hedge: spender(&m.hedges), Retry: spender(&m.retries),
+		Select: firstOf, Hedge: hedger(&m.hedges), Retry: spender(&m.retries),
 	}
 	return m, m.switchOff(without)
 }
@@ -110,6 +110,11 @@
 	return 0
 }
 
+func hedger(n *int) func(time.Duration, int, time.Duration) bool {
+	spend := spender(n)
+	return func(_ time.Duration, shard int, _ time.Duration) bool { return spend(shard) }
+}
+
 func spender(n *int) func(int) bool {
 	return func(int) bool {
 		*n--
