--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -34,6 +34,16 @@
 	// mostStray is how many late answers to other requests are passed over
 	// before the one that is awaited.
 	mostStray = 3
+	// idleLife is how long an unused connection is kept: a server counts those of
+	// nodes that lost power until they time out, and must have room for theirs
+	// again when they are back.
+	idleLife = 4 * time.Second
+	// probation is how long a new connection is watched before a request that
+	// must not run twice is sent on it: a server that has too many resets them.
+	probation = 4 * time.Millisecond
+	// resetAtOnce is within which time of the request a reset on a new connection
+	// counts as a refusal of the connection: a round trip and a slow wake-up.
+	resetAtOnce = 8 * time.Millisecond
 	// directDial bounds the set-up of a connection, three round trips between
 	// zones and a busy listener.
 	directDial = 400 * time.Millisecond
@@ -128,6 +138,9 @@
 var (
 	// ErrNotSent says that nothing of the request has left.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrRefused says that a server reset a new connection at once, before it
+	// can have run anything.
+	ErrRefused = errors.New("connection was refused by a reset")
 	// ErrMalformed says that a server's bytes are no answer to the request.
 	ErrMalformed = errors.New("answer is malformed")
 )
@@ -138,6 +151,9 @@
 	raw   syscall.RawConn
 	r     *bufio.Reader
 	until time.Time
+	// fresh is set until the first answer has come; sent is when the request left.
+	fresh bool
+	sent  time.Time
 	// pending is a request that goes out with the next read.
 	pending []byte
 }
@@ -147,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &directConn{conn: c, raw: raw}
+	d := &directConn{conn: c, raw: raw, fresh: true}
 	d.r = bufio.NewReaderSize(d, directBuffer)
 	return d, nil
 }
@@ -161,6 +177,7 @@
 	}
 	b := c.pending
 	c.pending = nil
+	c.sent = time.Now()
 	var werr, rerr error
 	written := false
 	err = c.raw.Read(func(fd uintptr) bool {
@@ -303,9 +320,23 @@
 	if d.Dialed != nil {
 		d.Dialed()
 	}
+	if o.Once && !survives(ctx, c) {
+		_ = c.Close()
+		return nil, errors.Wrap(ErrNotSent, "the new connection was reset")
+	}
 	return newDirectConn(c.(*net.TCPConn))
 }
 
+// survives reports whether a new connection is still open after its probation.
+func survives(ctx context.Context, c net.Conn) bool {
+	select {
+	case <-time.After(probation):
+		return quiet(c)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Do sends a request and reads its whole answer. The connection is closed
 // when ctx ends, which cancels the request at the server. An error that is
 // not ErrNotSent leaves open whether the request has run.
@@ -347,6 +378,10 @@
 		}()
 	}
 	resp, reuse, err = c.await(o)
+	if c.fresh && errors.Is(err, syscall.ECONNRESET) && time.Since(c.sent) < resetAtOnce {
+		err = errors.Wrap(ErrRefused, err.Error())
+	}
+	c.fresh = false
 	if err != nil {
 		return resp, false, tier.At("read answer", string(server), err)
 	}
@@ -427,14 +462,14 @@
 // setIdle notes until when the server keeps the connection while it is unused.
 func (c *directConn) setIdle(h http.Header) {
 	now := time.Now()
-	c.until = now.Add(IdleConn)
+	c.until = now.Add(idleLife)
 	for _, f := range strings.Split(h.Get("Keep-Alive"), ",") {
 		v, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout=")
 		if !ok {
 			continue
 		}
 		if n, err := strconv.Atoi(v); err == nil {
-			c.until = now.Add(max(0, time.Duration(n)*time.Second-idleMargin))
+			c.until = now.Add(min(idleLife, max(0, time.Duration(n)*time.Second-idleMargin)))
 		}
 	}
 }
--- a/internal/edge/catalog.go
+++ b/internal/edge/catalog.go
@@ -102,6 +102,14 @@
 	return nil
 }
 
+// service returns the service of a server, or "" if it is gone.
+func (c *catalog) service(id tier.ServerID) tier.Service {
+	if t := c.offer.Load().targets[id]; t != nil {
+		return t.rec.Service
+	}
+	return ""
+}
+
 // trim closes connections that have been idle for too long.
 func (c *catalog) trim(now time.Time) {
 	for _, t := range c.offer.Load().targets {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -96,11 +96,29 @@
 	}
 	n.door = &reqst.Door{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
-		Board:  &pace.Board{Zone: n.Settings.Zone},
+		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Entries: n.gossip.live,
 	}
 }
 
+// connLimit returns this node's share of a server's connections, at least one.
+// Half of the limit is left: for hedges that pile up on a server, and for the
+// connections of nodes that lost power, which the server still counts.
+func (n *Node) connLimit(id tier.ServerID) int {
+	t := n.Routes()
+	if t == nil {
+		return 1
+	}
+	b := t.Backend(n.catalog.service(id))
+	if b == nil || b.Conns == 0 {
+		return mostConns
+	}
+	return max(1, b.Conns/2/max(1, n.gossip.live()))
+}
+
+// mostConns is the limit where the operator gives none.
+const mostConns = 16
+
 func (n *Node) deliver(_ tier.NodeID, b []byte) {
 	if r := n.replica.Load(); r != nil {
 		r.Deliver(b)
--- a/internal/proc/pace/pace.go
+++ b/internal/proc/pace/pace.go
@@ -53,6 +53,8 @@
 type Board struct {
 	// Zone is the node's own zone.
 	Zone tier.Zone
+	// Limit returns how many connections this node may have to a server; nil is no limit.
+	Limit func(tier.ServerID) int
 
 	servers map[tier.ServerID]*server
 }
@@ -153,6 +155,9 @@
 		if now < s.shed {
 			cost += 2 * float64(k.Base)
 		}
+		if b.Limit != nil && s.open >= b.Limit(c.Server) {
+			cost += float64(k.Target)
+		}
 		if now < s.until {
 			cost += float64(k.Target) + float64(s.until-now)
 		}
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -28,6 +28,9 @@
 	// guessShare is the share of a route's target that its answers are taken to
 	// last before the first one: servers are given work that fits its target.
 	guessShare = 4
+	// startShare is the part of its share of the fixed allowance that a node
+	// uses in its first window: it does not know what its former start spent.
+	startShare = 0.4
 	// wayShare is the share of the target that is left for the way to the caller
 	// and back, leastWay the least: a new connection over 3 ms one way.
 	wayShare = 8
@@ -130,10 +133,11 @@
 // fixed returns the node's share of the fixed allowance; one that started
 // within the window does not know what its former start spent.
 func (d *Door) fixed(now time.Duration) float64 {
+	share := d.Budget.Fixed / float64(max(1, d.Entries()))
 	if now-d.started < d.Budget.Window {
-		return 0
+		share *= startShare
 	}
-	return d.Budget.Fixed / float64(max(1, d.Entries()))
+	return share
 }
 
 func (d *Door) extra(s tier.Service) *Extra {
@@ -458,7 +462,7 @@
 		if !a.action.Hedge {
 			d.median(a.route).Add(took)
 		}
-	case rep.Reason == tier.ReasonShed:
+	case rep.Reason == tier.ReasonShed || rep.Reason == tier.ReasonRefused:
 		b.Shed(now, id)
 	case rep.Reason == tier.ReasonCanceled:
 		b.Slower(now, id, ratio)
@@ -487,6 +491,8 @@
 	switch s := rep.answer.Status; {
 	case errors.Is(err, conn.ErrNotSent):
 		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonLost
+	case errors.Is(err, conn.ErrRefused):
+		rep.Reason = tier.ReasonRefused
 	case errors.Is(err, context.Canceled):
 		rep.Reason = tier.ReasonCanceled
 	case errors.Is(err, conn.ErrMalformed):
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -322,6 +322,8 @@
 // one never reached a server that works.
 func free(r conn.Reply) bool {
 	switch r.Reason {
+	case tier.ReasonRefused:
+		return true
 	case tier.ReasonDraining, tier.ReasonNoOwner, tier.ReasonVersion, tier.ReasonLost:
 		return r.Fate == conn.FateNotRun
 	default:
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -38,6 +38,7 @@
 	ReasonIsolated    Reason = "isolated"
 	ReasonCanceled    Reason = "canceled"
 	ReasonNoRoute     Reason = "no_route"
+	ReasonRefused     Reason = "connection_refused"
 )
 
 // QueryRequest is the body of POST /v1/query.
