--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -127,11 +127,11 @@
 	return nil
 }
 
-// live returns the number of hosts that are not down.
-func (g *gossip) live() int {
-	n := 0
+// active returns the number of live hosts that callers use, this one included.
+func (g *gossip) active() int {
+	n := 1
 	for _, h := range g.list() {
-		if h.State != spread.HostDown {
+		if h.State != spread.HostDown && h.Active && h.ID != g.settings.ID {
 			n++
 		}
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -33,6 +33,8 @@
 	// all hosts to confirm it; the server waits a second for the answer.
 	settleWait = 300 * time.Millisecond
 	settlePoll = 10 * time.Millisecond
+	// activeFor is how long a node counts as used after its last request.
+	activeFor = 10 * time.Second
 )
 
 // Listener is one HTTP interface of a node.
@@ -97,7 +99,7 @@
 	n.door = &reqst.Door{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
-		Budget: n.Settings.Budget, Entries: n.gossip.live,
+		Budget: n.Settings.Budget, Entries: n.gossip.active,
 	}
 }
 
@@ -113,7 +115,7 @@
 	if b == nil || b.Conns == 0 {
 		return mostConns
 	}
-	return max(1, b.Conns/2/max(1, n.gossip.live()))
+	return max(1, b.Conns/2/n.gossip.active())
 }
 
 // mostConns is the limit where the operator gives none.
@@ -151,7 +153,7 @@
 		return err
 	}
 	s := &n.Settings
-	self := spread.Host{ID: s.ID, Boot: n.boot, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control}
+	self := spread.Host{ID: s.ID, Boot: n.boot, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control, Cores: s.Cores, Mbits: s.Mbits}
 	if err := n.gossip.start(self, leasesMissed*s.BeatEvery); err != nil {
 		_ = n.mesh.Close()
 		return err
@@ -222,10 +224,18 @@
 			return ctx.Err()
 		case <-t.C:
 			n.catalog.trim(time.Now())
+			n.noteActive()
 		}
 	}
 }
 
+// noteActive tells the fleet whether callers use this node: those that do
+// share the budgets among them.
+func (n *Node) noteActive() {
+	active := n.door.Used(activeFor)
+	n.gossip.change(func(h *spread.Host) { h.Active = active })
+}
+
 // noteReady tells the fleet whether this node serves callers.
 func (n *Node) noteReady() {
 	ready := n.Ready()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -45,6 +45,9 @@
 	AnswerTTL time.Duration
 	// Budget limits extra sub-requests.
 	Budget reqst.Allowance
+	// Cores is the share of processors, Mbits the link's bandwidth in Mbit/s; 0 is not known.
+	Cores float64
+	Mbits float64
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 	// Limits bounds callers until a routing table says otherwise.
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -40,6 +40,11 @@
 	Disk    bool           `cbor:"10,keyasint,omitempty" json:"disk,omitempty"`
 	// Ready says that the host serves callers.
 	Ready bool `cbor:"11,keyasint,omitempty" json:"ready,omitempty"`
+	// Active says that callers use the host.
+	Active bool `cbor:"12,keyasint,omitempty" json:"active,omitempty"`
+	// Cores is the host's share of processors, Mbits its link's bandwidth in Mbit/s; 0 is not known.
+	Cores float64 `cbor:"13,keyasint,omitempty" json:"cores,omitempty"`
+	Mbits float64 `cbor:"14,keyasint,omitempty" json:"mbits,omitempty"`
 }
 
 // Less reports whether o is the newer version of the same host.
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -108,6 +108,7 @@
 	failures failureLimit
 	base     context.Context
 	open     atomic.Int64
+	last     atomic.Int64
 }
 
 // Allowance is the fleet's budget of extra sub-requests for each service:
@@ -127,6 +128,12 @@
 	d.Board.Start()
 }
 
+// Used reports whether a request came within the given time.
+func (d *Door) Used(within time.Duration) bool {
+	last := time.Duration(d.last.Load())
+	return last > 0 && d.Clock.Now()-last < within
+}
+
 // Open returns the number of requests under way.
 func (d *Door) Open() int64 { return d.open.Load() }
 
@@ -169,6 +176,7 @@
 func (d *Door) Forward(ctx context.Context, in *Inbound) Outbound {
 	d.open.Add(1)
 	defer d.open.Add(-1)
+	d.last.Store(int64(d.Clock.Now()))
 	table := d.Routes()
 	if table == nil {
 		return refusal(tier.ReasonNoControl, briefRetry)
