--- a/internal/proc/quorum/steer.go
+++ b/internal/proc/quorum/steer.go
@@ -126,7 +126,7 @@
 		return nil
 	}
 	for _, h := range s.Hosts {
-		if !h.Disk || s.Members.IsVoter(h.Replica) || s.Members.IsLearner(h.Replica) {
+		if !h.Disk || s.holds(h.Replica.Node()) {
 			continue
 		}
 		next := Members{Voters: s.Members.Voters}
@@ -136,6 +136,16 @@
 	return nil
 }
 
+// holds reports whether any incarnation of a node is a member.
+func (s *Steering) holds(node tier.NodeID) bool {
+	for _, id := range s.Members.All() {
+		if id.Node() == node {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Steering) without(id tier.ReplicaID) Members {
 	return Members{Voters: Without(s.Members.Voters, id), Learners: Without(s.Members.Learners, id)}
 }
