--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -44,6 +44,10 @@
 	// resetAtOnce is within which time of the request a reset on a new connection
 	// counts as a refusal of the connection: a round trip and a slow wake-up.
 	resetAtOnce = 8 * time.Millisecond
+	// goneEvery is the least time between two looks whether a server that broke
+	// a connection is gone, so that lost answers do not cost a connection each.
+	goneEvery   = time.Second
+	goneTimeout = 100 * time.Millisecond
 	// directDial bounds the set-up of a connection, three round trips between
 	// zones and a busy listener.
 	directDial = 400 * time.Millisecond
@@ -231,6 +235,11 @@
 	mu     sync.Mutex
 	idle   []*directConn
 	closed bool
+
+	// look is held while the server is looked for; it guards the fields below.
+	look   sync.Mutex
+	looked time.Time
+	gone   bool
 }
 
 // Close closes the idle connections; those in use are closed after their request.
@@ -337,6 +346,23 @@
 	}
 }
 
+// Gone reports whether nothing listens at the server's address any more. It
+// looks at most once in goneEvery; all that ask meanwhile get the same word.
+func (d *Direct) Gone(ctx context.Context) bool {
+	d.look.Lock()
+	defer d.look.Unlock()
+	if time.Since(d.looked) < goneEvery {
+		return d.gone
+	}
+	dialer := net.Dialer{Timeout: goneTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", d.Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	d.looked, d.gone = time.Now(), errors.Is(err, syscall.ECONNREFUSED)
+	return d.gone
+}
+
 // Do sends a request and reads its whole answer. The connection is closed
 // when ctx ends, which cancels the request at the server. An error that is
 // not ErrNotSent leaves open whether the request has run.
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -142,6 +142,15 @@
 	g.do(func(now time.Duration, s *spread.State) { s.Change(now, f) })
 }
 
+func (g *gossip) seeds() (list []tier.NodeID) {
+	g.do(func(_ time.Duration, s *spread.State) { list = s.Seeds })
+	return list
+}
+
+func (g *gossip) setSeeds(seeds []tier.NodeID) {
+	g.do(func(_ time.Duration, s *spread.State) { s.Seeds = seeds })
+}
+
 func (g *gossip) setRoutes(v vers.RoutesVersion) {
 	g.do(func(now time.Duration, s *spread.State) { s.SetRoutes(now, v) })
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -49,8 +49,11 @@
 	Settings Settings
 	// Log takes events.
 	Log *logrus.Logger
-	// Clock gives the time, and counts while the machine is suspended.
+	// Clock gives the time of requests.
 	Clock tier.Clock
+	// Leases gives the time of leases and of the control group; it counts while
+	// the machine is suspended.
+	Leases tier.Clock
 	// Stats takes latencies and counts.
 	Stats *stats.Registry
 	// Names are the names of the platform's headers.
@@ -70,6 +73,7 @@
 	door       *reqst.Door
 	workers    *work.Pool
 	table      atomic.Pointer[table]
+	newTable   chan struct{}
 	fetching   atomic.Bool
 	stopping   atomic.Bool
 	stopped    chan struct{}
@@ -82,10 +86,11 @@
 func (n *Node) Build() {
 	n.boot = uint64(time.Now().UnixMilli())
 	n.stopped = make(chan struct{})
+	n.newTable = make(chan struct{}, 1)
 	n.workers = &work.Pool{}
 	n.catalog = &catalog{dialed: func() { n.Stats.Count("server_connections", "opened") }}
 	n.catalog.start()
-	n.gossip = &gossip{settings: &n.Settings, clock: n.Clock, changed: n.membershipChanged}
+	n.gossip = &gossip{settings: &n.Settings, clock: n.Leases, changed: n.membershipChanged}
 	n.mesh = &conn.Mesh{
 		Self: n.Settings.ID, Listen: n.Settings.linkAddress(n.Settings.ID), Certs: &conn.Certs{Self: n.Settings.ID},
 		Refused: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
@@ -99,7 +104,7 @@
 	n.door = &reqst.Door{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
-		Budget: n.Settings.Budget, Entries: n.gossip.active,
+		Budget: n.Settings.Budget, Entries: n.gossip.active, Died: n.serverDied,
 	}
 }
 
@@ -133,11 +138,22 @@
 	if len(eff.Servers) > 0 {
 		n.catalog.update(eff.Servers)
 	}
+	for _, f := range eff.Faults {
+		n.door.Blame(f.Print, f.Server)
+	}
 	if eff.Newer != "" {
 		n.fetchRoutes(n.ctx, eff.Newer)
 	}
 }
 
+// serverDied tells the fleet under which request a server died.
+func (n *Node) serverDied(f tier.Fingerprint, id tier.ServerID) {
+	event.ServerDied.Log(n.Log, nil, logrus.Fields{"server": id, "fingerprint": f})
+	n.workers.Go(func() {
+		n.gossip.do(func(now time.Duration, s *spread.State) { s.Fault(now, spread.Fault{Print: f, Server: id}) })
+	})
+}
+
 // Run serves until ctx ends, which is a stop at once, or until Stop was called
 // and the node has drained. The actors run for as long.
 func (n *Node) Run(ctx context.Context, actors ...func(context.Context) error) error {
@@ -163,7 +179,9 @@
 	n.actor(base, &g, n.raft.Run)
 	n.actor(base, &g, n.gossip.receive)
 	n.actor(base, &g, n.gossip.tick)
+	n.loadTable()
 	n.actor(base, &g, n.runReplica)
+	n.actor(base, &g, n.keepTables)
 	n.actor(base, &g, n.trim)
 	for _, f := range actors {
 		n.actor(base, &g, f)
--- a/internal/edge/routes.go
+++ b/internal/edge/routes.go
@@ -105,6 +105,10 @@
 		}
 	}
 	event.RoutesInForce.Log(n.Log, nil, logrus.Fields{"version": d.Version, "routes": len(t.Routes)})
+	select {
+	case n.newTable <- struct{}{}:
+	default:
+	}
 	n.gossip.setRoutes(d.Version)
 	n.noteReady()
 }
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
@@ -98,6 +99,8 @@
 	Board *pace.Board
 	// Budget limits extra sub-requests of each service.
 	Budget Allowance
+	// Died is told of each server that died under a request; it must not wait.
+	Died func(tier.Fingerprint, tier.ServerID)
 	// Entries returns the number of live nodes that share the budget.
 	Entries func() int
 
@@ -106,6 +109,7 @@
 	usual    map[string]*pace.Median
 	started  time.Duration
 	failures failureLimit
+	suspects Suspects
 	base     context.Context
 	open     atomic.Int64
 	last     atomic.Int64
@@ -185,12 +189,29 @@
 	if r == nil {
 		return Outbound{Status: http.StatusNotFound, Reason: tier.ReasonNoRoute}
 	}
-	f := &flight{door: d, route: r, in: in, table: table.Version}
+	f := &flight{door: d, route: r, in: in, table: table.Version, print: Fingerprint(tier.Service(in.Host+in.Target), in.Body)}
+	if hold := d.held(f.print); hold > 0 {
+		event.RequestPoisonous.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.print})
+		return refusal(tier.ReasonQuarantine, hold)
+	}
 	out := f.run(ctx)
 	f.log(&out)
 	return out
 }
 
+func (d *Door) held(f tier.Fingerprint) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.suspects.Held(d.Clock.Now(), f)
+}
+
+// Blame notes that a server died under a request, here or at another node.
+func (d *Door) Blame(f tier.Fingerprint, id tier.ServerID) (fresh bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.suspects.Blame(d.Clock.Now(), f, id)
+}
+
 func refusal(why tier.Reason, after time.Duration) Outbound {
 	return Outbound{Status: http.StatusServiceUnavailable, Reason: why, RetryAfter: after}
 }
@@ -212,6 +233,7 @@
 	failure  *conn.Answer
 	table    vers.RoutesVersion
 	trail    trail
+	print    tier.Fingerprint
 }
 
 // directReply is a reply with the whole answer of the server.
@@ -395,7 +417,7 @@
 	f.trail.sent(now, a)
 	ctx, cancel := context.WithCancel(d.base)
 	f.cancels[a.Attempt] = cancel
-	ask := asking{door: d, out: f.out, kind: f.kind, route: f.route.Name, action: a, sent: now, deadline: f.deadline}
+	ask := asking{door: d, out: f.out, kind: f.kind, route: f.route.Name, print: f.print, action: a, sent: now, deadline: f.deadline}
 	replies := f.replies
 	d.Workers.Go(func() {
 		defer cancel()
@@ -433,6 +455,7 @@
 	out      *conn.Outgoing
 	kind     pace.Kind
 	route    string
+	print    tier.Fingerprint
 	action   Action
 	sent     time.Duration
 	deadline time.Duration
@@ -446,6 +469,9 @@
 		var err error
 		rep.answer, err = direct.Do(ctx, a.out, a.deadline-a.sent)
 		d.judge(rep, err)
+		if rep.Reason == tier.ReasonLost && rep.Fate == conn.FateFailed {
+			d.Workers.Go(func() { d.findOut(direct, a.print, a.action.Server) })
+		}
 	} else {
 		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonNoOwner
 	}
@@ -453,6 +479,13 @@
 	return rep
 }
 
+// findOut blames a request if the server that broke its connection is gone.
+func (d *Door) findOut(direct *conn.Direct, f tier.Fingerprint, id tier.ServerID) {
+	if direct.Gone(d.base) && d.Blame(f, id) {
+		d.Died(f, id)
+	}
+}
+
 // observe tells the board what the reply says of its server.
 func (a *asking) observe(rep *directReply) {
 	d, id := a.door, a.action.Server
@@ -466,6 +499,7 @@
 	switch {
 	case rep.Fate == conn.FateDone:
 		b.Answered(now, id, ratio)
+		d.suspects.Clear(a.print)
 		b.Reported(now, id, parseLoad(rep.answer.Header.Get(d.Names.Load)))
 		if !a.action.Hedge {
 			d.median(a.route).Add(took)
