--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -6,7 +6,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"path/filepath"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -93,15 +93,14 @@
 	return doc, err
 }
 
-// folder returns the data folder of this host's replica, or "" for none.
-func (n *Node) folder() string {
-	if n.Settings.Data != "" {
-		return n.Settings.Data
+// folder returns the data folder of this host's replica, or "" for none. A
+// founder without a disk has one that lasts as long as the process.
+func (n *Node) folder() (string, error) {
+	if n.Settings.Data != "" || !n.founder() {
+		return n.Settings.Data, nil
 	}
-	if n.founder() {
-		return filepath.Join(n.Settings.Scratch, "replica")
-	}
-	return ""
+	path, err := os.MkdirTemp(n.Settings.Scratch, "replica")
+	return path, tier.At("make scratch folder", n.Settings.Scratch, err)
 }
 
 // founder reports whether this node founds the group: a seed at the first start of the fleet.
@@ -120,7 +119,10 @@
 // runReplica keeps a control replica going. One whose disk failed is opened
 // again from what the disk holds.
 func (n *Node) runReplica(ctx context.Context) error {
-	path := n.folder()
+	path, err := n.folder()
+	if err != nil {
+		return err
+	}
 	for path != "" && ctx.Err() == nil {
 		r := n.newReplica(path)
 		r.Init()
