Hosts with a disk remember the membership; after a loss of power servers are used before they announce themselves again

Cause: after all processes were killed or lost power, servers were known only once each had announced itself, up to 1.2 s later. Copies on disk give way to whatever is newer. A home that hears of its own server from others owes it a whole lease (the test failed first).

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -179,9 +179,9 @@
 	n.actor(base, &g, n.raft.Run)
 	n.actor(base, &g, n.gossip.receive)
 	n.actor(base, &g, n.gossip.tick)
-	n.loadTable()
+	n.recall()
 	n.actor(base, &g, n.runReplica)
-	n.actor(base, &g, n.keepTables)
+	n.actor(base, &g, n.keep)
 	n.actor(base, &g, n.trim)
 	for _, f := range actors {
 		n.actor(base, &g, f)
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -61,7 +61,7 @@
 	RoutesFetchFailed = Event{214, logrus.WarnLevel, "routing table not fetched", "A peer has a newer routing table and did not hand it on in time; the node asks again."}
 	ReplicaReopens    = Event{215, logrus.WarnLevel, "control replica is opened again", "Its disk had failed."}
 	RoutesRefused     = Event{217, logrus.WarnLevel, "routing table refused", "An operator sent one that is invalid."}
-	TableNotKept      = Event{220, logrus.WarnLevel, "routing table not kept on disk", "The copy from which a host serves before the control group has a leader could not be written or read. Fields: version."}
+	CopyFailed        = Event{220, logrus.WarnLevel, "copy on disk failed", "The copy of the routing table or of the membership, by which a host serves early after a loss of power, could not be written or read. Fields: file."}
 	SettingsReloaded  = Event{218, logrus.InfoLevel, "settings reloaded", "Fields: why, seeds."}
 	SettingsRefused   = Event{219, logrus.WarnLevel, "changed settings refused", "The file cannot be read or is invalid; the node keeps the settings that it has. Fields: why."}
 	HostChanged       = Event{216, logrus.InfoLevel, "host changed", "Another node came, went or changed. Fields: host, state, boot, seq."}
@@ -88,6 +88,6 @@
 var Catalogue = []Event{
 	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotMade, SnapshotInstalled, DiskFailed, CommandBad, ConfigAccepted, HubOpened, RoutesAccepted,
 	NodeStarted, NodeReady, ConfigInForce, ControlLost, ControlFound, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
-	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopens, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, TableNotKept,
+	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopens, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, CopyFailed,
 	ServerUp, ServerGone, ServerDied, ServerSilent, AnswerRejected, AnnounceRefused, AccessRefused, RequestPoisonous, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
 }
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// strangers returns the seeds and the hosts that are down; once a seed has
-// answered, one of them.
+// strangers returns the seeds that are not known and the hosts that are down;
+// once a host has answered, one of them.
 func (s *State) strangers() []tier.NodeID {
 	var out []tier.NodeID
 	for _, id := range s.Seeds {
@@ -157,15 +157,12 @@
 			out = append(out, id)
 		}
 	}
-	if !s.answered {
-		return out
-	}
 	for id, e := range s.hosts {
-		if e.rec.State == HostDown && id != s.self.ID {
+		if e.rec.State == HostDown && id != s.self.ID && !contains(out, id) {
 			out = append(out, id)
 		}
 	}
-	if len(out) > 1 {
+	if s.answered && len(out) > 1 {
 		sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 		out = out[s.Rand.IntN(len(out)):][:1]
 	}
--- a/internal/proc/spread/spread_test.go
+++ b/internal/proc/spread/spread_test.go
@@ -32,7 +32,7 @@
 }
 
 func newNet(seed uint64, n int) *net {
-	w := &net{rand: rand.New(rand.NewPCG(seed, 2)), states: map[tier.NodeID]*State{}, down: map[tier.NodeID]bool{}, cut: map[[2]tier.NodeID]bool{}}
+	w := &net{now: 100 * time.Hour, rand: rand.New(rand.NewPCG(seed, 2)), states: map[tier.NodeID]*State{}, down: map[tier.NodeID]bool{}, cut: map[[2]tier.NodeID]bool{}}
 	var seeds []tier.NodeID
 	for i := range min(n, 3) {
 		seeds = append(seeds, nodeID(i))
@@ -285,3 +285,37 @@
 		require.LessOrEqual(t, len(p.Servers)+len(p.Hosts), mostRecords)
 	}
 }
+
+// TestRestoredMembershipServesUntilItIsRenewed restarts all hosts at once; one
+// of them remembers, and the servers announce themselves again, or not.
+func TestRestoredMembershipServesUntilItIsRenewed(t *testing.T) {
+	w := newNet(9, 5)
+	w.run(2 * time.Second)
+	w.announce(nodeID(1), beat("stays", 3, ServerReady))
+	w.announce(nodeID(4), beat("goes", 3, ServerReady))
+	w.announce(nodeID(2), beat("drains", 3, ServerDraining))
+	w.run(time.Second)
+	hosts, servers := w.states[nodeID(0)].Hosts(), w.states[nodeID(0)].Servers()
+	w.wire = nil
+	for i := range 5 {
+		w.add(nodeID(i), []tier.NodeID{nodeID(0), nodeID(1)})
+	}
+	w.states[nodeID(0)].Restore(w.now, hosts, servers)
+	w.run(time.Second)
+	for _, id := range w.order {
+		for server, state := range map[tier.ServerID]ServerState{"stays": ServerReady, "goes": ServerReady, "drains": ServerDraining} {
+			r, ok := w.server(id, server)
+			require.True(t, ok)
+			require.Equal(t, state, r.State, "%s at %s", server, id)
+		}
+		require.Equal(t, HostUp, w.states[id].hosts[nodeID(3)].rec.State)
+	}
+	w.announce(nodeID(3), beat("stays", 4, ServerReady))
+	w.run(testLease)
+	for _, id := range w.order {
+		r, _ := w.server(id, "stays")
+		require.Equal(t, ServerReady, r.State)
+		r, _ = w.server(id, "goes")
+		require.Equal(t, ServerLost, r.State)
+	}
+}
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -103,6 +103,24 @@
 	s.hostNews = append(s.hostNews, self.ID)
 }
 
+// Restore takes over what was known before this start. Hosts count as down
+// until they are heard from, and servers have a lease to announce themselves.
+func (s *State) Restore(now time.Duration, hosts []Host, servers []Server) {
+	for _, h := range hosts {
+		if h.ID == s.self.ID {
+			continue
+		}
+		h.State = HostDown
+		s.putHost(now, h)
+	}
+	for _, r := range servers {
+		s.putServer(now, r)
+	}
+}
+
+// Sum returns a hash of all records.
+func (s *State) Sum() uint64 { return s.digest.sum() }
+
 // Self returns the node's own record.
 func (s *State) Self() Host { return s.self }
 
@@ -196,6 +214,8 @@
 		e.downAt = now
 	}
 	e.rec, e.sum = r, digest(&r)
+	// A home that hears of its own server from others, after its own start, owes it a whole lease.
+	e.heard = now
 	s.digest.Servers[b] += e.sum
 	s.out.Servers = append(s.out.Servers, r)
 	return true
