--- a/internal/proc/pace/pace.go
+++ b/internal/proc/pace/pace.go
@@ -25,6 +25,13 @@
 	avoidLongest = 6 * time.Second
 	// shedFor is how long a server that refused for want of room counts as full.
 	shedFor = 150 * time.Millisecond
+	// missWeight is the weight of one new outcome in the share of requests that a
+	// server fails or refuses, missLife the time in which that share halves.
+	missWeight = 0.2
+	missLife   = 3 * time.Second
+	// missShare is the share of a request's target that a sure miss costs: the
+	// time of a second server, and a repeat of the budget.
+	missShare = 2
 	// loadLife is how long a reported queue counts.
 	loadLife = 250 * time.Millisecond
 	// zoneShare is the share of a request's target that staying in the zone is
@@ -45,6 +52,8 @@
 	fails   int
 	until   time.Duration
 	shed    time.Duration
+	miss    float64
+	missAt  time.Duration
 	waiting float64
 	loadAt  time.Duration
 }
@@ -80,6 +89,16 @@
 	return s
 }
 
+// missed returns the share of requests that the server fails, as far as it still counts.
+func (s *server) missed(now time.Duration) float64 {
+	return s.miss * math.Exp2(-float64(now-s.missAt)/float64(missLife))
+}
+
+func (s *server) outcome(now time.Duration, miss float64) {
+	old := s.missed(now)
+	s.miss, s.missAt = old+(miss-old)*missWeight, now
+}
+
 // Sent notes that a sub-request was sent.
 func (b *Board) Sent(id tier.ServerID) { b.get(id).open++ }
 
@@ -94,6 +113,7 @@
 func (b *Board) Answered(now time.Duration, id tier.ServerID, ratio float64) {
 	s := b.get(id)
 	s.fails, s.until = 0, 0
+	s.outcome(now, 0)
 	s.observe(now, ratio)
 }
 
@@ -132,8 +152,15 @@
 	s.fails++
 }
 
+// Erred notes that a server answered with an error or with nonsense.
+func (b *Board) Erred(now time.Duration, id tier.ServerID) { b.get(id).outcome(now, 1) }
+
 // Shed notes that a server refused for want of room.
-func (b *Board) Shed(now time.Duration, id tier.ServerID) { b.get(id).shed = now + shedFor }
+func (b *Board) Shed(now time.Duration, id tier.ServerID) {
+	s := b.get(id)
+	s.outcome(now, 1)
+	s.shed = now + shedFor
+}
 
 // Kind is what a choice needs to know of a request.
 type Kind struct {
@@ -152,6 +179,7 @@
 			wait += s.waiting
 		}
 		cost *= s.present(now) * (1 + wait)
+		cost += s.missed(now) * float64(k.Target) / missShare
 		if now < s.shed {
 			cost += 2 * float64(k.Base)
 		}
--- a/internal/proc/pace/pace_test.go
+++ b/internal/proc/pace/pace_test.go
@@ -123,3 +123,37 @@
 	b.Forget(func(id tier.ServerID) bool { return id == "near" })
 	require.Len(t, b.servers, 1)
 }
+
+// TestServerThatRefusesHalfIsLeft replays servers of which the near one sheds
+// half of its requests without being full, and one that fails now and then.
+func TestServerThatRefusesHalfIsLeft(t *testing.T) {
+	b := board()
+	near := 0
+	for i, now := 0, time.Duration(0); now < 10*time.Second; i, now = i+1, now+100*ms {
+		id := b.pick(now)
+		switch {
+		case id == "near" && i%2 == 0:
+			near++
+			b.Shed(now, id)
+		case id == "near":
+			near++
+			b.Answered(now, id, 1)
+		default:
+			b.Answered(now, id, 1)
+		}
+	}
+	require.Less(t, near, 20, "of 100 requests")
+	b = board()
+	near = 0
+	for i, now := 0, time.Duration(0); now < 10*time.Second; i, now = i+1, now+100*ms {
+		if b.pick(now) == "near" {
+			near++
+			if i%30 == 29 {
+				b.Shed(now, "near")
+				continue
+			}
+			b.Answered(now, "near", 1)
+		}
+	}
+	require.Greater(t, near, 85, "a rare refusal does not matter")
+}
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -506,6 +506,8 @@
 		}
 	case rep.Reason == tier.ReasonShed || rep.Reason == tier.ReasonRefused:
 		b.Shed(now, id)
+	case rep.Reason == tier.ReasonServerError || rep.Reason == tier.ReasonTruncated:
+		b.Erred(now, id)
 	case rep.Reason == tier.ReasonCanceled:
 		b.Slower(now, id, ratio)
 	default:
