--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// lingerTTLs is for how many lives of an answer callers may come back with an old one.
-	lingerTTLs = 2
 	// stopRoom is left of the grace for ending the process.
 	stopRoom = 600 * time.Millisecond
 	// handTimeout bounds the hand-over of the control group's leadership.
@@ -31,7 +29,8 @@
 }
 
 // untilStopped returns when a stop has ended: the node is off the lists at
-// once, serves on for callers with old ones, and finishes what is in flight.
+// once, serves callers with old ones for half of its grace, and has the other
+// half to finish what is in flight.
 func (n *Node) untilStopped(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -45,9 +44,8 @@
 		r.Hand(hctx)
 		cancel()
 	}
-	linger := min(lingerTTLs*n.Settings.AnswerTTL, time.Until(end)/2)
 	select {
-	case <-time.After(linger):
+	case <-time.After(time.Until(end) / 2):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
