Servers without room for a connection are asked once more instead of failing the request

Refused connections no longer count as attempts, and the servers of a shard are asked again after 25, 50, 100 and 200 ms.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -109,7 +109,7 @@
 }
 
 // connLimit returns this node's share of a server's connections, at least one.
-// Half of the limit is left: for hedges that pile up on a server, and for the
+// A quarter of the limit is left for nodes that are not known yet, and for the
 // connections of nodes that lost power, which the server still counts.
 func (n *Node) connLimit(id tier.ServerID) int {
 	t := n.Routes()
@@ -120,7 +120,7 @@
 	if b == nil || b.Conns == 0 {
 		return mostConns
 	}
-	return max(1, b.Conns/2/n.gossip.active())
+	return max(1, b.Conns*3/4/n.gossip.active())
 }
 
 // mostConns is the limit where the operator gives none.
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -29,6 +29,9 @@
 	// guessShare is the share of a route's target that its answers are taken to
 	// last before the first one: servers are given work that fits its target.
 	guessShare = 4
+	// againWait is the first wait after all servers of a shard refused a
+	// connection: some of their other connections end in that time.
+	againWait = 25 * time.Millisecond
 	// startShare is the part of its share of the fixed allowance that a node
 	// uses in its first window: it does not know what its former start spent.
 	startShare = 0.4
@@ -305,7 +308,7 @@
 // terms returns what the plan goes by.
 func (f *flight) terms() Terms {
 	r := f.route
-	t := Terms{Deadline: f.deadline, Timeout: f.deadline, Attempts: max(1, r.Attempts), Once: !r.Idempotent}
+	t := Terms{Deadline: f.deadline, Timeout: f.deadline, Attempts: max(1, r.Attempts), Once: !r.Idempotent, Again: againWait}
 	if r.Idempotent {
 		t.HedgeDelay = time.Duration(hedgeEarly * float64(f.kind.Base))
 	}
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -29,6 +29,9 @@
 	Settle time.Duration
 	// Once forbids another try unless the first one did not run.
 	Once bool
+	// Again is the wait before the servers of a shard that all refused are asked
+	// once more; it doubles each time. 0 is never.
+	Again time.Duration
 }
 
 // ActionKind is what the driver of a plan must do.
@@ -85,6 +88,9 @@
 	shed    bool
 	tried   []tier.ServerID
 	asked   int
+	// againAt is when the servers are asked once more, rounds how often they were.
+	againAt time.Duration
+	rounds  int
 	server  tier.ServerID
 	data    json.RawMessage
 	mark    string
@@ -242,7 +248,7 @@
 	a.open = false
 	p.parts[a.shard].open--
 	p.ran = p.ran || r.Fate != conn.FateNotRun
-	if r.Fate == conn.FateNotRun {
+	if r.Fate == conn.FateNotRun || free(r) {
 		p.parts[a.shard].asked--
 	}
 	p.queued = max(p.queued, time.Duration(r.QueuedUs)*time.Microsecond)
@@ -313,11 +319,28 @@
 		p.miss(shard, r.Reason)
 		return
 	}
-	if !p.send(now, shard, false, p.canary == shard) {
+	if !p.send(now, shard, false, p.canary == shard) && !p.later(now, shard, r) {
 		p.miss(shard, r.Reason)
 	}
 }
 
+// later has the servers of a shard asked once more after a while, where none
+// of them had room for a connection.
+func (p *Plan) later(now time.Duration, shard int, r conn.Reply) bool {
+	pt := &p.parts[shard]
+	if p.Terms.Again == 0 || !free(r) || pt.rounds >= mostRounds {
+		return false
+	}
+	pt.againAt = now + p.Terms.Again<<pt.rounds
+	if pt.againAt >= p.Terms.Deadline {
+		pt.againAt = 0
+		return false
+	}
+	pt.rounds++
+	p.wake = min(p.wake, pt.againAt)
+	return true
+}
+
 // free reports whether another try costs servers nothing, because the first
 // one never reached a server that works.
 func free(r conn.Reply) bool {
--- a/internal/reqst/timing.go
+++ b/internal/reqst/timing.go
@@ -10,6 +10,9 @@
 // mostHedges bounds the hedges of one sub-query: the first may meet a straggler too.
 const mostHedges = 2
 
+// mostRounds bounds how often the servers of a shard are asked once more.
+const mostRounds = 4
+
 // hedgeSteps is into how many parts the hedge delay falls for asking again
 // after a hedge was put off.
 const hedgeSteps = 4
@@ -37,6 +40,11 @@
 			next = min(next, a.sent+p.Terms.Timeout)
 		}
 	}
+	for i := range p.parts {
+		if pt := &p.parts[i]; pt.againAt > 0 && !pt.done && !pt.missing {
+			next = min(next, pt.againAt)
+		}
+	}
 	if !p.mayHedge() {
 		return next
 	}
@@ -68,6 +76,7 @@
 		return p.take()
 	}
 	p.timeouts(now)
+	p.askAgain(now)
 	if p.mayHedge() {
 		p.hedges(now)
 	}
@@ -76,6 +85,20 @@
 	return p.take()
 }
 
+// askAgain asks the servers of shards that have waited.
+func (p *Plan) askAgain(now time.Duration) {
+	for i := range p.parts {
+		pt := &p.parts[i]
+		if pt.againAt == 0 || now < pt.againAt || pt.done || pt.missing {
+			continue
+		}
+		pt.againAt, pt.tried = 0, nil
+		if !p.send(now, i, false, p.canary == i) {
+			p.miss(i, tier.ReasonNoServer)
+		}
+	}
+}
+
 // settleDue reports whether it is time to answer without the shards that are
 // still open; from then on the first reply that covers enough does so.
 func (p *Plan) settleDue(now time.Duration) bool {
