Edge nodes on the product's own interface: settings, routing-table format, announcements, client

sassafrasring edge -c FILE, with checked settings and certificates between nodes; routes apply, show, history, diff and status. platform/ only translates into the same settings and calls. TestEdgeNodes runs all of it with real processes.

--- /dev/null
+++ b/internal/cmdln/edge.go
@@ -0,0 +1,81 @@
+package cmdln
+
+import (
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/edge"
+	"sassafrasring.dev/sassafrasring/internal/reqst"
+	"sassafrasring.dev/sassafrasring/internal/setup"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+	"sassafrasring.dev/sassafrasring/platform"
+)
+
+func platformCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "platform", Short: "Run a node on the users' machines", Args: cobra.NoArgs,
+		Long: "Run a node by the settings file that the platform writes, until SIGTERM or SIGINT has\nstopped it. deploy/system.toml says where the nodes run.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return platform.Run(cmd.Context(), o.out) },
+	}
+}
+
+func edgeCommand(o *options) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use: "edge", Short: "Run a node that forwards requests by a routing table", Args: cobra.NoArgs,
+		Long:    "Run a node that forwards callers' HTTP requests straight to servers by the routing table\n(routes apply), until SIGTERM or SIGINT has stopped it.",
+		Example: "  sassafrasring edge -c /etc/sassafrasring/edge.jsonc",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := setup.LoadEdge(path)
+			if err != nil {
+				return err
+			}
+			level, err := logrus.ParseLevel(s.Log.Level)
+			if err != nil {
+				return err
+			}
+			p := &edge.Process{
+				Path: path, Load: func() (edge.Settings, error) { return loadEdge(path) }, Names: tier.DefaultHeaders(), Decode: vers.DecodeRoutes,
+				Level: level, Out: o.out, Listeners: func(n *edge.Node) []edge.Listener { return n.OwnListeners(s.Callers, s.Control) },
+			}
+			if s.TLS != (setup.TLS{}) {
+				p.Certs = &conn.Certs{CA: s.TLS.CA, Cert: s.TLS.Cert, Key: s.TLS.Key}
+			}
+			return p.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVarP(&path, "config", "c", "", "settings file (JSON with comments)")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+const (
+	percent  = 100
+	megabyte = 1 << 20
+)
+
+func loadEdge(path string) (edge.Settings, error) {
+	s, err := setup.LoadEdge(path)
+	if err != nil {
+		return edge.Settings{}, err
+	}
+	return edge.Settings{
+		ID: s.ID, Name: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control, LinkPort: s.LinkPort, GossipPort: s.Gossip,
+		Seeds: s.Seeds, Found: s.Found, Data: s.Data, Tolerance: s.Tolerance, BeatEvery: s.BeatMs.Duration(), Grace: s.GraceMs.Duration(),
+		AnswerTTL: s.TTLMs.Duration(), MemoryBytes: int64(s.Limits.MemoryMB) * megabyte,
+		Budget: reqst.Allowance{Ratio: float64(s.Repeats.Percent) / percent, Fixed: float64(s.Repeats.Fixed), Window: s.Repeats.WindowMs.Duration()},
+		Limits: edge.CallerLimits{HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, HeaderTime: s.Limits.ReadMs.Duration(), IdleTime: s.Limits.IdleMs.Duration()},
+	}, nil
+}
+
+// edgeStatus reads the state of the first edge node that answers.
+func (o *options) edgeStatus() (edge.Status, error) {
+	var s edge.Status
+	ctx, cancel := o.context()
+	defer cancel()
+	return s, o.ops(ctx, http.MethodGet, "/v1/ops/status", &s)
+}
--- a/internal/cmdln/root.go
+++ b/internal/cmdln/root.go
@@ -98,9 +98,9 @@
 	f.StringVar(&o.certs.Cert, "cert", os.Getenv("SASSAFRASRING_CERT"), "file with the certificate to show to entries")
 	f.StringVar(&o.certs.Key, "key", os.Getenv("SASSAFRASRING_KEY"), "file with its private key")
 	f.DurationVar(&o.timeout, "timeout", 10*time.Second, "longest time for the whole command")
-	root.AddCommand(serveCommand(o), platformCommand(o), settingsCommand(o), hashCommand(o), certCommand(o), versionCommand(o))
+	root.AddCommand(serveCommand(o), edgeCommand(o), platformCommand(o), settingsCommand(o), hashCommand(o), certCommand(o), versionCommand(o))
 	root.AddCommand(statusCommand(o), configCommand(o), exceptionCommand(o), nodeCommand(o), serverCommand(o), controlCommand(o), suspectCommand(o))
-	root.AddCommand(queryCommand(o), writeCommand(o), replayCommand(o), manCommand(o), eventsCommand(o))
+	root.AddCommand(routesCommand(o), queryCommand(o), writeCommand(o), replayCommand(o), manCommand(o), eventsCommand(o))
 	return root
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -60,6 +60,8 @@
 	Names tier.HeaderNames
 	// Decode reads a routing table.
 	Decode func(doc []byte) (*vers.Routes, error)
+	// Certs are the certificates between nodes; nil has one made at start.
+	Certs *conn.Certs
 	// Listeners are the HTTP interfaces; set between Build and Run.
 	Listeners []Listener
 
@@ -91,8 +93,11 @@
 	n.catalog = &catalog{dialed: func() { n.Stats.Count("server_connections", "opened") }}
 	n.catalog.start()
 	n.gossip = &gossip{settings: &n.Settings, clock: n.Leases, changed: n.membershipChanged}
+	if n.Certs == nil {
+		n.Certs = &conn.Certs{Self: n.Settings.ID}
+	}
 	n.mesh = &conn.Mesh{
-		Self: n.Settings.ID, Listen: n.Settings.linkAddress(n.Settings.ID), Certs: &conn.Certs{Self: n.Settings.ID},
+		Self: n.Settings.ID, Listen: n.Settings.linkAddress(n.Settings.ID), Certs: n.Certs,
 		Refused: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
 	}
 	n.raft = &conn.Sender{Mesh: n.mesh, Kind: kindRaft, Resolve: n.peer}
--- /dev/null
+++ b/internal/edge/own.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/proc/lease"
+	"sassafrasring.dev/sassafrasring/internal/proc/spread"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// OwnListeners returns the product's own interface: callers on one address,
+// servers and operators on another.
+func (n *Node) OwnListeners(callers, control string) []Listener {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", n.getReady)
+	e.GET("/metrics", n.Metrics)
+	e.GET("/v1/entries", n.getEntries)
+	e.POST("/v1/announce", n.postAnnounce)
+	n.Ops(e.Group("/v1/ops"))
+	return []Listener{{Address: callers, Handler: n}, {Address: control, Handler: e}}
+}
+
+func (n *Node) getReady(c echo.Context) error {
+	if !n.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// getEntries tells callers which nodes to use; their zone and region stand in the query.
+func (n *Node) getEntries(c echo.Context) error {
+	list, ttl := n.Entries(tier.Zone(c.QueryParam("zone")), tier.Region(c.QueryParam("region")))
+	return c.JSON(http.StatusOK, tier.EntriesAnswer{Addresses: append([]string{}, list...), TTLMs: tier.ToMillis(ttl)})
+}
+
+// postAnnounce takes a server's announcement.
+func (n *Node) postAnnounce(c echo.Context) error {
+	var a tier.Announcement
+	if err := c.Bind(&a); err != nil {
+		return err
+	}
+	if err := lease.Check(a); err != nil {
+		event.AnnounceRefused.Log(n.Log, err, logrus.Fields{"remote": c.RealIP()})
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	r := spread.Server{ID: a.Server, Born: a.BornMs, Seq: a.Sequence, Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots}
+	if a.Draining {
+		r.State = spread.ServerDraining
+	}
+	ans := tier.AnnounceAnswer{LeaseMs: tier.ToMillis(leasesMissed * n.Settings.BeatEvery)}
+	if next := n.Beat(c.Request().Context(), r); next != "" {
+		ans.Addresses = []string{next}
+	}
+	return c.JSON(http.StatusOK, ans)
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -25,6 +25,9 @@
 	// Callers and Control are the addresses under which others know this node's interfaces.
 	Callers string
 	Control string
+	// ReadyAddress and Directory are listeners of platforms that have such ones.
+	ReadyAddress string
+	Directory    string
 	// LinkPort is for streams between nodes (UDP, QUIC), GossipPort for their datagrams.
 	LinkPort   int
 	GossipPort int
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -532,6 +532,9 @@
 	return pace.Load{Running: v[0], Waiting: v[1], Slots: v[2]}
 }
 
+// unsigned reports whether an answer lacks the signature that the platform asks for.
+func unsigned(h http.Header, name string) bool { return name != "" && h.Get(name) == "" }
+
 // judge tells what an answer or its absence means.
 func (d *Door) judge(rep *directReply, err error) {
 	h := rep.answer.Header
@@ -552,7 +555,7 @@
 		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonShed
 	case s >= http.StatusInternalServerError:
 		rep.Reason = tier.ReasonServerError
-	case s < http.StatusMultipleChoices && (h.Get(d.Names.Signature) == "" || h.Get("Content-Encoding") != ""):
+	case s < http.StatusMultipleChoices && (unsigned(h, d.Names.Signature) || h.Get("Content-Encoding") != ""):
 		rep.Reason = tier.ReasonTruncated
 	default:
 		rep.Fate, rep.Data, rep.Mark = conn.FateDone, rep.answer.Body, h.Get(d.Names.Signature)
@@ -592,7 +595,9 @@
 	marks, data, missing := f.plan.Marks()
 	names := &f.door.Names
 	h := http.Header{}
-	h.Set(names.Parts, strings.Join(marks, ", "))
+	if names.Parts != "" {
+		h.Set(names.Parts, strings.Join(marks, ", "))
+	}
 	h.Set(names.Missing, strconv.Itoa(missing))
 	h.Set("Content-Type", "application/octet-stream")
 	return Outbound{Status: http.StatusOK, Header: h, Body: mergeTop(data, f.route.Top)}
--- a/internal/setup/check.go
+++ b/internal/setup/check.go
@@ -61,8 +61,6 @@
 	return 1
 }
 
-func shapeOf(v any) reflect.Type { return reflect.TypeOf(v) }
-
 // shape checks the types and the keys of v against a Go type.
 func (c *checker) shape(v hujson.Value, key string, t reflect.Type) {
 	switch t.Kind() {
--- a/internal/setup/schema.go
+++ b/internal/setup/schema.go
@@ -18,11 +18,23 @@
 	Doc     string `json:"doc"`
 }
 
-// Schema returns a row per key.
+// Schema returns a row per key of a node's settings.
 func Schema() []Row {
 	return rows("", reflect.TypeOf(Settings{}))
 }
 
+// EdgeSchema returns a row per key of an edge node's settings.
+func EdgeSchema() []Row {
+	return rows("", reflect.TypeOf(Edge{}))
+}
+
+func writeRows(b *strings.Builder, list []Row) {
+	b.WriteString("| key | type | unit | default | allowed | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range list {
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s | %s |\n", r.Key, r.Type, r.Unit, r.Default, r.Allowed, r.Doc)
+	}
+}
+
 func rows(prefix string, t reflect.Type) []Row {
 	var out []Row
 	for i := range t.NumField() {
@@ -51,10 +63,9 @@
 	var b strings.Builder
 	b.WriteString("# Settings\n\nMade by `sassafrasring settings schema -o markdown`; do not edit by hand.\n\n")
 	b.WriteString("## Settings of a node (file)\n\nJSON with comments, checked as a whole at start. Unknown keys are errors.\n\n")
-	b.WriteString("| key | type | unit | default | allowed | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
-	for _, r := range Schema() {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", r.Key, r.Type, r.Unit, r.Default, r.Allowed, r.Doc)
-	}
+	writeRows(&b, Schema())
+	b.WriteString("\n## Settings of an edge node (file)\n\nFor `sassafrasring edge`; the same form.\n\n")
+	writeRows(&b, EdgeSchema())
 	b.WriteString("\n## Configuration of the fleet\n\nChanged by operators with `config set` and `exception add`; in force on every node within seconds.\n\n")
 	b.WriteString("| key | unit | default | least | most | exceptions for | meaning |\n| --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, s := range vers.Keys {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -127,22 +128,9 @@
 // Parse checks the text of a settings file; the error is Problems.
 func Parse(path string, text []byte) (Settings, error) {
 	s := Defaults()
-	root, err := hujson.Parse(text)
+	c, err := decode(path, text, &s)
 	if err != nil {
-		return s, Problems{{File: path, Line: lineOfError(err, text), Key: "(file)", Value: err.Error(), Allowed: "JSON with comments"}}
-	}
-	c := &checker{file: path, text: text, root: root}
-	c.shape(root, "", shapeOf(s))
-	if len(c.problems) > 0 {
-		return s, c.problems
-	}
-	plain := append([]byte(nil), text...)
-	plain, err = hujson.Standardize(plain)
-	if err == nil {
-		err = json.NewDecoder(bytes.NewReader(plain)).Decode(&s)
-	}
-	if err != nil {
-		return s, Problems{{File: path, Line: 1, Key: "(file)", Value: err.Error(), Allowed: "values of the types in the schema"}}
+		return s, err
 	}
 	if s.Advertise == "" {
 		s.Advertise = s.Callers
@@ -153,3 +141,25 @@
 	}
 	return s, nil
 }
+
+// decode reads a file into out, a pointer to settings with their defaults, and
+// checks its keys and types; the error is Problems.
+func decode(path string, text []byte, out any) (*checker, error) {
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return nil, Problems{{File: path, Line: lineOfError(err, text), Key: "(file)", Value: err.Error(), Allowed: "JSON with comments"}}
+	}
+	c := &checker{file: path, text: text, root: root}
+	c.shape(root, "", reflect.TypeOf(out).Elem())
+	if len(c.problems) > 0 {
+		return nil, c.problems
+	}
+	plain, err := hujson.Standardize(append([]byte(nil), text...))
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(plain)).Decode(out)
+	}
+	if err != nil {
+		return nil, Problems{{File: path, Line: 1, Key: "(file)", Value: err.Error(), Allowed: "values of the types in the schema"}}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/system/edge_test.go
@@ -0,0 +1,231 @@
+package system
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/internal/cert"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// edges is a set of edge nodes with servers, on the product's own interface.
+type edges struct {
+	t     *testing.T
+	dir   string
+	ips   []string
+	port  int
+	nodes []*exec.Cmd
+}
+
+// newEdges starts three nodes with a disk each, with certificates of one CA.
+func newEdges(t *testing.T) *edges {
+	e := &edges{t: t, dir: t.TempDir()}
+	e.port = ports.take(4)
+	require.NotZero(t, e.port)
+	maker := &cert.Maker{Folder: filepath.Join(e.dir, "tls")}
+	require.NoError(t, maker.Open())
+	for i := range 3 {
+		e.ips = append(e.ips, fmt.Sprintf("127.88.%d.%d", os.Getpid()%250, i+1))
+	}
+	seeds, err := json.Marshal(e.ips)
+	require.NoError(t, err)
+	for i, ip := range e.ips {
+		require.NoError(t, maker.Node(ip, []string{ip}))
+		path := filepath.Join(e.dir, ip+".jsonc")
+		text := fmt.Sprintf(`{
+			// An edge node of a test.
+			"id": %q, "name": "edge-%d", "zone": "z%d", "region": "r", "callers": "%s:%d", "control": "%s:%d",
+			"link_port": %d, "gossip_port": %d, "seeds": %s, "found": true, "data": %q, "beat_ms": 200,
+			"tls": {"ca": %q, "cert": %q, "key": %q},
+		}`, ip, i, i, ip, e.port, ip, e.port+1, e.port+2, e.port+3, seeds, filepath.Join(e.dir, ip+".data"),
+			filepath.Join(e.dir, "tls", "ca.pem"), filepath.Join(e.dir, "tls", ip+".pem"), filepath.Join(e.dir, "tls", ip+".key"))
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		cmd := exec.Command(binary, "edge", "-c", path)
+		log, err := os.Create(filepath.Join(e.dir, ip+".log"))
+		require.NoError(t, err)
+		cmd.Stdout, cmd.Stderr = log, log
+		require.NoError(t, cmd.Start())
+		e.nodes = append(e.nodes, cmd)
+		t.Cleanup(func() {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+			_ = log.Close()
+		})
+	}
+	return e
+}
+
+// control lists the nodes' addresses for operators.
+func (e *edges) control() string {
+	var out []string
+	for _, ip := range e.ips {
+		out = append(out, fmt.Sprintf("%s:%d", ip, e.port+1))
+	}
+	return strings.Join(out, ",")
+}
+
+// cli runs the operators' client and returns its output and exit code.
+func (e *edges) cli(args ...string) (string, int) {
+	cmd := exec.Command(binary, append(args, "--entries", e.control(), "--timeout", "30s")...)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		e.t.Fatal(err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// serve starts a server of a service that answers with its name, and announces it.
+func (e *edges) serve(name, service string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(e.t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set(tier.HeaderRequestID, r.Header.Get(tier.HeaderRequestID))
+		_, _ = fmt.Fprintf(w, "%-16.16s%s", name, body)
+	})}
+	go func() { _ = srv.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	e.t.Cleanup(func() {
+		cancel()
+		_ = srv.Close()
+		<-ended
+	})
+	go func() {
+		defer close(ended)
+		for seq := uint64(1); ctx.Err() == nil; seq++ {
+			e.announce(ctx, tier.Announcement{
+				Server: tier.ServerID(name), Instance: 1, Service: tier.Service(service), Zone: "z0", Address: l.Addr().String(),
+				Slots: 4, Conns: 40, LeaseMs: 800, BornMs: 1, Sequence: seq,
+			})
+			select {
+			case <-time.After(200 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		}
+	}()
+}
+
+func (e *edges) announce(ctx context.Context, a tier.Announcement) {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return
+	}
+	for _, addr := range strings.Split(e.control(), ",") {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/announce", strings.NewReader(string(b)))
+		if err != nil {
+			return
+		}
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
+
+func (e *edges) get(ip, host, path string) (int, string) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, fmt.Sprintf("http://%s:%d%s", ip, e.port, path), nil)
+	require.NoError(e.t, err)
+	req.Host = host
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(b)
+}
+
+const edgeTable = `{
+	// Two shards, and a plain route.
+	"version": %d,
+	"routes": [
+		{"name": "search", "host": "a.example", "prefix": "/search/", "idempotent": true, "timeout": 5000, "target": 1000, "gather": ["s1", "s2"], "top": 2, "least": 1},
+		{"name": "plain", "host": "a.example", "prefix": "/", "timeout": 5000, "service": "s1"},
+	],
+	"services": [{"name": "s1"}, {"name": "s2"}],
+}`
+
+// TestEdgeNodes runs the product's own interface and its client: routes are
+// applied, shown, compared and served, and a node is stopped.
+func TestEdgeNodes(t *testing.T) {
+	e := newEdges(t)
+	file := filepath.Join(e.dir, "routes.jsonc")
+	write := func(version int) {
+		require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, edgeTable, version), 0o600))
+	}
+	write(3)
+	out, code := e.cli("routes", "apply", file, "--reason", "first", "--author", "ana")
+	require.Zero(t, code, out)
+	e.serve("one", "s1")
+	e.serve("two", "s2")
+	for _, ip := range e.ips {
+		await(t, "both shards answer", func() bool {
+			status, body := e.get(ip, "a.example", "/search/x")
+			return status == http.StatusOK && strings.Contains(body, "one") && strings.Contains(body, "two")
+		})
+		status, _ := e.get(ip, "a.example", "/plain")
+		require.Equal(t, http.StatusOK, status)
+		status, _ = e.get(ip, "b.example", "/plain")
+		require.Equal(t, http.StatusNotFound, status)
+	}
+	write(5)
+	_, code = e.cli("routes", "apply", file, "--reason", "second")
+	require.Zero(t, code)
+	write(4)
+	out, code = e.cli("routes", "apply", file)
+	require.Equal(t, 4, code, out)
+	require.NoError(t, os.WriteFile(file, []byte(`{"version": 9, "routes": [{}]}`), 0o600))
+	out, code = e.cli("routes", "apply", file)
+	require.Equal(t, 2, code, out)
+	out, _ = e.cli("routes", "history")
+	require.Regexp(t, `(?s)3 .*ana.*first.*5 .*second`, out)
+	out, _ = e.cli("routes", "diff")
+	require.Equal(t, "- \t\"version\": 3,\n+ \t\"version\": 5,\n", out)
+	out, _ = e.cli("routes", "show")
+	require.Contains(t, out, `"version": 5`)
+	out, _ = e.cli("routes", "status")
+	require.Contains(t, out, "#founder")
+	require.NoError(t, e.nodes[2].Process.Signal(syscall.SIGTERM))
+	require.NoError(t, e.nodes[2].Wait())
+	await(t, "the stopped node is off the list", func() bool {
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d/v1/entries", e.ips[0], e.port+1))
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		var a tier.EntriesAnswer
+		return json.NewDecoder(resp.Body).Decode(&a) == nil && len(a.Addresses) == 2
+	})
+}
+
+// await awaits an event.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(poll) {
+		if time.Now().After(end) {
+			t.Fatalf("it never came that %s", what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/vers/document.go
@@ -0,0 +1,96 @@
+package vers
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// document is a routing table in the product's own format: JSON with comments.
+type document struct {
+	Version  *RoutesVersion  `json:"version"`
+	Routes   []documentRoute `json:"routes"`
+	Services []documentEntry `json:"services"`
+	Limits   documentLimits  `json:"limits"`
+}
+
+type documentRoute struct {
+	Name       string         `json:"name"`
+	Host       string         `json:"host"`
+	Prefix     string         `json:"prefix"`
+	Idempotent bool           `json:"idempotent"`
+	Timeout    tier.Millis    `json:"timeout"`
+	Target     tier.Millis    `json:"target"`
+	Priority   int            `json:"priority"`
+	Attempts   int            `json:"attempts"`
+	Service    tier.Service   `json:"service"`
+	Split      []documentPart `json:"split"`
+	Gather     []tier.Service `json:"gather"`
+	Top        int            `json:"top"`
+	Least      float64        `json:"least"`
+}
+
+type documentPart struct {
+	Service tier.Service `json:"service"`
+	Weight  float64      `json:"weight"`
+}
+
+type documentEntry struct {
+	Name   tier.Service `json:"name"`
+	Health string       `json:"health"`
+	Conns  int          `json:"connections"`
+}
+
+type documentLimits struct {
+	Header int         `json:"header"`
+	Body   int64       `json:"body"`
+	Read   tier.Millis `json:"read"`
+	Idle   tier.Millis `json:"idle"`
+}
+
+// DecodeRoutes reads a routing table in the product's own format. Unknown
+// fields are errors, since a misspelt one would be taken for left out.
+func DecodeRoutes(doc []byte) (*Routes, error) {
+	plain, err := hujson.Standardize(append([]byte(nil), doc...))
+	if err != nil {
+		return nil, errors.Wrap(err, "routing table")
+	}
+	var f document
+	d := json.NewDecoder(bytes.NewReader(plain))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return nil, errors.Wrap(err, "routing table")
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return nil, errors.New("routing table: one JSON value is expected")
+	}
+	if f.Version == nil {
+		return nil, errors.New("routing table: version is missing")
+	}
+	t := &Routes{Version: *f.Version, Limits: CallerLimits{
+		HeaderBytes: f.Limits.Header, BodyBytes: f.Limits.Body, HeaderTime: f.Limits.Read.Duration(), IdleTime: f.Limits.Idle.Duration(),
+	}}
+	for _, r := range f.Routes {
+		t.Routes = append(t.Routes, r.route())
+	}
+	for _, s := range f.Services {
+		t.Backends = append(t.Backends, Backend(s))
+	}
+	return t, nil
+}
+
+func (r *documentRoute) route() Route {
+	out := Route{
+		Name: r.Name, Host: Hostname(r.Host), Prefix: r.Prefix, Idempotent: r.Idempotent, Timeout: r.Timeout.Duration(),
+		Target: r.Target.Duration(), Priority: r.Priority, Attempts: r.Attempts, Service: r.Service, Gather: r.Gather, Top: r.Top, Least: r.Least,
+	}
+	for _, p := range r.Split {
+		out.Split = append(out.Split, Part(p))
+	}
+	return out
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -27,6 +27,9 @@
 // ErrNoEntry says that an entry named none to use, as when all are draining.
 var ErrNoEntry = errors.New("no entry to use")
 
+// Raw is a body that is sent as it is.
+type Raw []byte
+
 // StatusError is an answer with an unexpected status.
 type StatusError struct {
 	Status int
@@ -88,7 +91,9 @@
 
 func (c *Client) request(ctx context.Context, entry, method, path string, in any) (*http.Request, error) {
 	var body io.Reader
-	if in != nil {
+	if raw, is := in.(Raw); is {
+		body = bytes.NewReader(raw)
+	} else if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
 			return nil, errors.Wrap(err, "encode request")
--- a/pkg/tier/headers.go
+++ b/pkg/tier/headers.go
@@ -11,7 +11,7 @@
 	Expect string
 	// Server names the server that answers.
 	Server string
-	// Signature is the server's MAC of its answer.
+	// Signature is the server's MAC of its answer; without one, any whole answer counts.
 	Signature string
 	// Parts lists the signatures of the parts of a gathered answer.
 	Parts string
@@ -28,6 +28,6 @@
 func DefaultHeaders() HeaderNames {
 	return HeaderNames{
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Expect: "X-Expect-Server", Server: HeaderServer,
-		Signature: "X-Signature", Parts: "X-Part-Signatures", Missing: "X-Missing-Parts", NotRun: HeaderNotRun, Load: HeaderLoad,
+		Missing: "X-Missing-Parts", NotRun: HeaderNotRun, Load: HeaderLoad,
 	}
 }
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -141,6 +141,10 @@
 	Holdings []Holding `json:"holdings,omitempty" cbor:"8,keyasint,omitempty"`
 	Draining bool      `json:"draining,omitempty" cbor:"9,keyasint,omitempty"`
 	LeaseMs  Millis    `json:"lease_ms" cbor:"10,keyasint"`
+	// BornMs is the Unix millisecond of the server's start, and Sequence rises
+	// with each announcement of one start; edge nodes need them.
+	BornMs   int64  `json:"born_ms,omitempty" cbor:"11,keyasint,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty" cbor:"12,keyasint,omitempty"`
 }
 
 // AnnounceAnswer tells a server for how long it is known and where else it
