--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -189,6 +189,7 @@
 		rep, err := n.askOne(ctx, id, q)
 		if err == nil && rep.Error == "" {
 			n.leaderHint.Store(&id)
+			n.controlReached(true, id, nil)
 			return rep, nil
 		}
 		n.leaderHint.Store(nil)
@@ -201,6 +202,7 @@
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
+			n.controlReached(false, "", err)
 			return reply{}, tier.At("reach control leader", string(id), errors.Wrap(tier.ErrNoControl, err.Error()))
 		}
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -82,6 +82,7 @@
 	once       sync.Once
 	ctx        context.Context
 	servers    []*http.Server
+	notes      notes
 }
 
 // Build makes the parts; it must be called once before Run.
@@ -142,6 +143,10 @@
 func (n *Node) membershipChanged(eff spread.Effects) {
 	if len(eff.Servers) > 0 {
 		n.catalog.update(eff.Servers)
+		n.serversChanged(eff.Servers)
+	}
+	if eff.Hosts {
+		n.hostsChanged(n.gossip.list())
 	}
 	for _, f := range eff.Faults {
 		n.door.Blame(f.Print, f.Server)
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -64,7 +64,9 @@
 	CopyFailed        = Event{220, logrus.WarnLevel, "copy on disk failed", "The copy of the routing table or of the membership, by which a host serves early after a loss of power, could not be written or read. Fields: file."}
 	SettingsReloaded  = Event{218, logrus.InfoLevel, "settings reloaded", "Fields: why, seeds."}
 	SettingsRefused   = Event{219, logrus.WarnLevel, "changed settings refused", "The file cannot be read or is invalid; the node keeps the settings that it has. Fields: why."}
-	HostChanged       = Event{216, logrus.InfoLevel, "host changed", "Another node came, went or changed. Fields: host, state, boot, seq."}
+	LeaderReached     = Event{221, logrus.InfoLevel, "control leader reached", "The first time, or again. Fields: leader."}
+	LeaderMissed      = Event{222, logrus.WarnLevel, "control leader not reached", "An operator's call found no control host with a quorum in its time."}
+	HostChanged       = Event{216, logrus.InfoLevel, "host changed", "A node came, went, started again or changed its readiness, as this node learned it. Fields: host, state, boot (its start), seq (version of the news), ready."}
 	SettingsInvalid   = Event{211, logrus.ErrorLevel, "settings invalid", "Fields: file, line, key."}
 )
 
@@ -88,6 +90,6 @@
 var Catalogue = []Event{
 	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotMade, SnapshotInstalled, DiskFailed, CommandBad, ConfigAccepted, HubOpened, RoutesAccepted,
 	NodeStarted, NodeReady, ConfigInForce, ControlLost, ControlFound, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
-	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopens, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, CopyFailed,
+	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopens, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, CopyFailed, LeaderReached, LeaderMissed,
 	ServerUp, ServerGone, ServerDied, ServerSilent, AnswerRejected, AnnounceRefused, AccessRefused, RequestPoisonous, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
 }
--- a/internal/proc/stats/registry.go
+++ b/internal/proc/stats/registry.go
@@ -79,6 +79,11 @@
 	}
 }
 
+// Latency records the time of one request under a kind and label.
+func (r *Registry) Latency(kind, label string, took time.Duration) {
+	r.histogram(kind + "\x00" + label).Record(took)
+}
+
 func (r *Registry) histogram(key string) *Histogram {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -345,7 +345,12 @@
 	now := d.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.extra(f.services[shard]).Spend(now, d.fixed(now))
+	if !d.extra(f.services[shard]).Spend(now, d.fixed(now)) {
+		d.Stats.Count("budget_empty", string(f.services[shard]))
+		return false
+	}
+	d.Stats.Count("retries", f.route.Name)
+	return true
 }
 
 // hedge decides whether a shard's sub-request is worth a second server.
@@ -355,7 +360,15 @@
 	defer d.mu.Unlock()
 	x, fixed := d.extra(f.services[shard]), d.fixed(now)
 	h := hedging{Base: f.kind.Base, Waited: waited, Left: f.target - now, Fill: x.Fill(now, fixed)}
-	return h.due() && x.Spend(now, fixed)
+	if !h.due() {
+		return false
+	}
+	if !x.Spend(now, fixed) {
+		d.Stats.Count("budget_empty", string(f.services[shard]))
+		return false
+	}
+	d.Stats.Count("hedges", f.route.Name)
+	return true
 }
 
 func (f *flight) pick(now time.Duration, _ tier.Shard, list []tier.Candidate) int {
--- a/internal/reqst/trail.go
+++ b/internal/reqst/trail.go
@@ -99,6 +99,8 @@
 	d := f.door
 	now := d.Clock.Now()
 	failed := out.Status >= http.StatusInternalServerError || out.Status == http.StatusTooManyRequests
+	d.Stats.Latency("route", f.route.Name, now-f.trail.began)
+	d.Stats.Count("requests", f.route.Name+"/"+strconv.Itoa(out.Status))
 	if failed {
 		d.Stats.Count("requests_failed", f.route.Name+"/"+string(out.Reason))
 	}
