--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -17,21 +17,27 @@
 const weakShare = 0.5
 
 // Entries returns the addresses that a caller of a zone should use, and for
-// how long: the ready nodes of its zone, or of its region, or all.
+// how long: the strong nodes of its zone, or of its region, or all that are ready.
 func (n *Node) Entries(zone tier.Zone, region tier.Region) ([]string, time.Duration) {
 	return pickEntries(n.gossip.list(), zone, region), n.Settings.AnswerTTL
 }
 
 func pickEntries(hosts []spread.Host, zone tier.Zone, region tier.Region) []string {
-	near := func(h *spread.Host) bool { return h.Zone == zone }
-	same := func(h *spread.Host) bool { return h.Region == region }
-	all := func(*spread.Host) bool { return true }
-	for _, take := range []func(*spread.Host) bool{near, same} {
-		if list := ready(hosts, take); len(list) >= leastEntries {
-			return addresses(strong(list))
+	list := ready(hosts, func(h *spread.Host) bool { return h.Region == region })
+	if len(list) == 0 {
+		list = ready(hosts, func(*spread.Host) bool { return true })
+	}
+	list = strong(list)
+	var near []*spread.Host
+	for _, h := range list {
+		if h.Zone == zone {
+			near = append(near, h)
 		}
 	}
-	return addresses(strong(ready(hosts, all)))
+	if len(near) >= leastEntries {
+		return addresses(near)
+	}
+	return addresses(list)
 }
 
 func ready(hosts []spread.Host, take func(*spread.Host) bool) []*spread.Host {
