--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks both models exhaustively; every broken variant must be caught.
+# Checks all models exhaustively; every broken variant must be caught.
 set -eu
 cd "$(dirname "$0")"
 work=$(mktemp -d)
@@ -21,4 +21,7 @@
 for v in NOCLAIM TAKEOVER GUESS LOOSE; do check claim "-D$v" caught; done
 check log '' pass
 for v in KEEPID EARLY OLDTERM; do check log "-D$v" caught; done
+check steer '' pass
+check steer '-DFOUR' pass
+for v in '-DFOUR -DNOTERM' -DTWO -DREFOUND; do check steer "$v" caught; done
 echo "models: all as expected"
