--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -430,7 +430,7 @@
 		if err != nil {
 			return Answer{}, false, err
 		}
-		if id := resp.Header.Get(o.Names.RequestID); id == "" || id == o.ID {
+		if o.answeredBy(&resp) {
 			return resp, reuse && clean && c.r.Buffered() == 0, nil
 		}
 		clean = false
@@ -438,6 +438,17 @@
 	return Answer{}, false, errors.Wrap(ErrMalformed, "answers to other requests")
 }
 
+// answeredBy reports whether an answer belongs to the request. One without an
+// id is a server's refusal before it looked at the request; where servers sign
+// what they answer, a signed one without an id belongs to no request.
+func (o *Outgoing) answeredBy(a *Answer) bool {
+	id := a.Header.Get(o.Names.RequestID)
+	if id != "" {
+		return id == o.ID
+	}
+	return o.Names.Signature == "" || a.Header.Get(o.Names.Signature) == ""
+}
+
 // read reads one final answer.
 func (c *directConn) read(method string) (resp Answer, reuse bool, err error) {
 	req := http.Request{Method: method}
--- a/internal/conn/direct_test.go
+++ b/internal/conn/direct_test.go
@@ -275,3 +275,43 @@
 		}, 10*time.Second, time.Millisecond)
 	}
 }
+
+// TestSignedAnswerWithoutAnIDBelongsToNoRequest has a server send such a second
+// answer after the first one, which stands before the answer to the next request.
+func TestSignedAnswerWithoutAnIDBelongsToNoRequest(t *testing.T) {
+	names := directNames
+	names.Signature = "X-Signature"
+	taken, strayed := make(chan struct{}), make(chan struct{})
+	d := scripted(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+			id := req.Header.Get(names.RequestID)
+			out := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nX-Signature: of-%s\r\nContent-Length: 0\r\n\r\n", names.RequestID, id, id)
+			if id == "refused" {
+				out = "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = io.WriteString(c, out)
+			<-taken
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Signature: stray\r\nContent-Length: 2\r\n\r\nhi")
+			strayed <- struct{}{}
+		}
+	})
+	// next lets the server send its second answer on the connection that is idle now.
+	next := func() {
+		taken <- struct{}{}
+		<-strayed
+	}
+	for i := range 6 {
+		o := outgoing(fmt.Sprint("id", i), false)
+		o.Names = &names
+		a, err := do(t, d, o)
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint("of-id", i), a.Header.Get("X-Signature"))
+		next()
+	}
+	o := outgoing("refused", false)
+	o.Names = &names
+	a, err := do(t, d, o)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, a.Status, "a refusal may have no id")
+	next()
+}
