A reset of a new connection is a repeat of the budget; later tries go out on accepted connections only

Cause: a reset right after a request on a new connection was taken for a server without room, and repeated without charge; servers that reset what they received do the same. Now the first such reset is paid for like any other try, and from then on a part is sent only on a connection that has been watched for 4 ms, so that a reset means that nothing was sent. TestResetsAreRepeatsOfTheBudget failed first.

--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -38,8 +38,8 @@
 	// nodes that lost power until they time out, and must have room for theirs
 	// again when they are back.
 	idleLife = 4 * time.Second
-	// probation is how long a new connection is watched before a request that
-	// must not run twice is sent on it: a server that has too many resets them.
+	// probation is how long a new connection is watched before a careful request
+	// is sent on it: a server that has too many resets them.
 	probation = 4 * time.Millisecond
 	// resetAtOnce is within which time of the request a reset on a new connection
 	// counts as a refusal of the connection: a round trip and a slow wake-up.
@@ -69,8 +69,6 @@
 	Body []byte
 	// Names are the names of the platform's headers.
 	Names *tier.HeaderNames
-	// Once says that the request must not run twice.
-	Once bool
 }
 
 // hopHeaders concern one connection only and are not forwarded.
@@ -308,12 +306,11 @@
 	d.idle = append(d.idle, c)
 }
 
-// get returns an idle connection or a new one. Only for a request that must
-// not run twice is an idle one looked at first: another one can be repeated if
-// the server has closed the connection meanwhile.
-func (d *Direct) get(ctx context.Context, o *Outgoing) (*directConn, error) {
+// get returns an idle connection or a new one. A careful caller gets one of
+// which it is known that the server has not closed or refused it.
+func (d *Direct) get(ctx context.Context, careful bool) (*directConn, error) {
 	for c := d.take(); c != nil; c = d.take() {
-		if time.Now().Before(c.until) && (!o.Once || quiet(c.conn)) {
+		if time.Now().Before(c.until) && (!careful || quiet(c.conn)) {
 			return c, nil
 		}
 		_ = c.conn.Close()
@@ -329,7 +326,7 @@
 	if d.Dialed != nil {
 		d.Dialed()
 	}
-	if o.Once && !survives(ctx, c) {
+	if careful && !survives(ctx, c) {
 		_ = c.Close()
 		return nil, errors.Wrap(ErrNotSent, "the new connection was reset")
 	}
@@ -363,11 +360,12 @@
 	return d.gone
 }
 
-// Do sends a request and reads its whole answer. The connection is closed
+// Do sends a request and reads its whole answer. Careful is for one that must
+// not run twice, or that a server has just refused. The connection is closed
 // when ctx ends, which cancels the request at the server. An error that is
 // not ErrNotSent leaves open whether the request has run.
-func (d *Direct) Do(ctx context.Context, o *Outgoing, left time.Duration) (Answer, error) {
-	c, err := d.get(ctx, o)
+func (d *Direct) Do(ctx context.Context, o *Outgoing, left time.Duration, careful bool) (Answer, error) {
+	c, err := d.get(ctx, careful)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/internal/conn/direct_test.go
+++ b/internal/conn/direct_test.go
@@ -63,17 +63,20 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", directNames.RequestID, req.Header.Get(directNames.RequestID), len(body), body)
 }
 
-func outgoing(id string, once bool) *Outgoing {
-	o := NewOutgoing(&directNames, http.MethodGet, "/p?q=1", "x.example", id, http.Header{"Accept": {"*/*"}}, nil)
-	o.Once = once
-	return o
+func outgoing(id string) *Outgoing {
+	return NewOutgoing(&directNames, http.MethodGet, "/p?q=1", "x.example", id, http.Header{"Accept": {"*/*"}}, nil)
 }
 
 func do(t *testing.T, d *Direct, o *Outgoing) (Answer, error) {
+	t.Helper()
+	return doAs(t, d, o, false)
+}
+
+func doAs(t *testing.T, d *Direct, o *Outgoing, careful bool) (Answer, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	return d.Do(ctx, o, time.Second)
+	return d.Do(ctx, o, time.Second, careful)
 }
 
 func TestDirectReusesAConnection(t *testing.T) {
@@ -85,7 +88,7 @@
 		}
 	})
 	for i := range 5 {
-		a, err := do(t, d, outgoing(fmt.Sprint("id", i), i%2 == 0))
+		a, err := doAs(t, d, outgoing(fmt.Sprint("id", i)), i%2 == 0)
 		require.NoError(t, err)
 		require.Equal(t, "body of /p?q=1", string(a.Body))
 	}
@@ -145,7 +148,7 @@
 			readRequest(t, r)
 			_, _ = io.WriteString(conn, c.answer)
 		})
-		_, err := do(t, d, outgoing("id", false))
+		_, err := do(t, d, outgoing("id"))
 		require.Error(t, err, c.name)
 		require.Equal(t, c.malformed, errors.Is(err, ErrMalformed), "%s: %v", c.name, err)
 		require.False(t, errors.Is(err, ErrNotSent), "%s: the request may have run", c.name)
@@ -158,7 +161,7 @@
 		req := readRequest(t, r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+directNames.RequestID+": "+req.Header.Get(directNames.RequestID)+"\r\n\r\nwhole")
 	})
-	a, err := do(t, d, outgoing("id", false))
+	a, err := do(t, d, outgoing("id"))
 	require.NoError(t, err)
 	require.Equal(t, "whole", string(a.Body))
 	require.Zero(t, d.Idle())
@@ -171,7 +174,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+directNames.RequestID+": "+req.Header.Get(directNames.RequestID)+"\r\n\r\nhalf")
 		_ = c.(*net.TCPConn).SetLinger(0)
 	})
-	_, err := do(t, d, outgoing("id", false))
+	_, err := do(t, d, outgoing("id"))
 	require.Error(t, err)
 }
 
@@ -195,7 +198,7 @@
 		})
 		for i := range 4 {
 			id := fmt.Sprint("id", i)
-			a, err := do(t, d, outgoing(id, false))
+			a, err := do(t, d, outgoing(id))
 			require.NoError(t, err)
 			require.Equal(t, "of "+id, string(a.Body), "late %v", late)
 		}
@@ -222,7 +225,7 @@
 	require.NoError(t, err)
 	d.Address = l.Addr().String()
 	require.NoError(t, l.Close())
-	_, err = do(t, d, outgoing("id", true))
+	_, err = doAs(t, d, outgoing("id"), true)
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
@@ -230,7 +233,7 @@
 // many connections, and a request that must not run twice is worth a moment.
 func TestServerThatResetsNewConnectionsIsNotSentAWrite(t *testing.T) {
 	d := scripted(t, func(_ int, c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).SetLinger(0) })
-	_, err := do(t, d, outgoing("id", true))
+	_, err := doAs(t, d, outgoing("id"), true)
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
@@ -248,7 +251,7 @@
 		<-arrived
 		cancel()
 	}()
-	_, err := d.Do(ctx, outgoing("id", false), time.Second)
+	_, err := d.Do(ctx, outgoing("id"), time.Second, false)
 	require.ErrorIs(t, err, context.Canceled)
 	<-gone
 }
@@ -264,7 +267,7 @@
 		closed <- struct{}{}
 	})
 	for i := range 3 {
-		a, err := do(t, d, outgoing(fmt.Sprint("id", i), true))
+		a, err := doAs(t, d, outgoing(fmt.Sprint("id", i)), true)
 		require.NoError(t, err)
 		require.Equal(t, "once", string(a.Body))
 		<-closed
@@ -301,14 +304,14 @@
 		<-strayed
 	}
 	for i := range 6 {
-		o := outgoing(fmt.Sprint("id", i), false)
+		o := outgoing(fmt.Sprint("id", i))
 		o.Names = &names
 		a, err := do(t, d, o)
 		require.NoError(t, err)
 		require.Equal(t, fmt.Sprint("of-id", i), a.Header.Get("X-Signature"))
 		next()
 	}
-	o := outgoing("refused", false)
+	o := outgoing("refused")
 	o.Names = &names
 	a, err := do(t, d, o)
 	require.NoError(t, err)
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -257,7 +257,6 @@
 	}
 	layout, servers := f.layout()
 	f.out = conn.NewOutgoing(&d.Names, f.in.Method, f.in.Target, f.in.Host, f.in.ID, f.in.Header, f.in.Body)
-	f.out.Once = !r.Idempotent
 	f.plan = &Plan{Layout: layout, Terms: f.terms(), Select: f.pick, Hedge: f.hedge, Retry: f.spend}
 	f.replies = make(chan *directReply, servers)
 	f.cancels = make(map[int]context.CancelFunc, len(f.services))
@@ -433,7 +432,7 @@
 	f.trail.sent(now, a)
 	ctx, cancel := context.WithCancel(d.base)
 	f.cancels[a.Attempt] = cancel
-	ask := asking{door: d, out: f.out, kind: f.kind, route: f.route.Name, print: f.print, action: a, sent: now, deadline: f.deadline}
+	ask := asking{door: d, out: f.out, kind: f.kind, route: f.route.Name, print: f.print, action: a, careful: a.Careful || !f.route.Idempotent, sent: now, deadline: f.deadline}
 	replies := f.replies
 	d.Workers.Go(func() {
 		defer cancel()
@@ -473,6 +472,7 @@
 	route    string
 	print    tier.Fingerprint
 	action   Action
+	careful  bool
 	sent     time.Duration
 	deadline time.Duration
 }
@@ -483,7 +483,7 @@
 	rep := &directReply{Reply: conn.Reply{Attempt: a.action.Attempt, Shard: a.action.Shard, Server: a.action.Server, Fate: conn.FateFailed}}
 	if direct := d.Directory.Direct(a.action.Server); direct != nil {
 		var err error
-		rep.answer, err = direct.Do(ctx, a.out, a.deadline-a.sent)
+		rep.answer, err = direct.Do(ctx, a.out, a.deadline-a.sent, a.careful)
 		d.judge(rep, err)
 		if rep.Reason == tier.ReasonLost && rep.Fate == conn.FateFailed {
 			d.Workers.Go(func() { d.findOut(direct, a.print, a.action.Server) })
--- a/internal/reqst/door_plan_test.go
+++ b/internal/reqst/door_plan_test.go
@@ -47,29 +47,51 @@
 func done() conn.Reply { return conn.Reply{Fate: conn.FateDone, Data: []byte("x"), Mark: "m"} }
 
 // TestServersWithoutRoomAreAskedAgain replays a loss of power: the servers
-// still count the connections of the nodes' former starts and reset new ones.
+// still count the connections of the nodes' former starts and reset new ones,
+// and there is no budget for repeats yet. The first reset leaves open whether
+// the request ran; from then on it is sent on accepted connections only.
 func TestServersWithoutRoomAreAskedAgain(t *testing.T) {
 	p := forwardPlan(1, Terms{Deadline: time.Second, Timeout: time.Second, Attempts: 2, Again: 25 * ms})
-	refused := conn.Reply{Fate: conn.FateFailed, Reason: tier.ReasonRefused}
+	p.Retry = func(int) bool { return false }
 	now := time.Duration(0)
 	acts := p.Start(now)
+	require.False(t, acts[0].Careful)
+	acts = answer(p, now, acts, conn.Reply{Fate: conn.FateFailed, Reason: tier.ReasonRefused})
 	for round := range mostRounds {
-		for range 3 {
-			require.NotEmpty(t, acts)
-			acts = answer(p, now, acts, refused)
-		}
-		require.Empty(t, acts, "all three have refused")
+		require.Empty(t, acts, "it waits")
 		require.False(t, p.Finished())
 		require.Equal(t, now+25*ms<<round, p.Next())
 		now = p.Next()
 		acts = p.Tick(now)
-		require.NotEmpty(t, acts, "they are asked once more, whatever the attempts: nothing has run")
+		for range 3 {
+			require.Len(t, acts, 1)
+			require.True(t, acts[0].Careful)
+			if round == mostRounds-1 {
+				break
+			}
+			acts = answer(p, now, acts, conn.Reply{Fate: conn.FateNotRun, Reason: tier.ReasonLost})
+		}
 	}
 	answer(p, now, acts, done())
 	require.True(t, p.Finished())
 	require.True(t, p.Covered())
 }
 
+// TestResetsAreRepeatsOfTheBudget replays servers that reset requests which
+// they have received: each other try is paid for, and bounded by the attempts.
+func TestResetsAreRepeatsOfTheBudget(t *testing.T) {
+	p := forwardPlan(1, Terms{Deadline: time.Second, Timeout: time.Second, Attempts: 2, Again: 25 * ms})
+	paid := 0
+	p.Retry = func(int) bool { paid++; return true }
+	refused := conn.Reply{Fate: conn.FateFailed, Reason: tier.ReasonRefused}
+	acts := answer(p, 0, p.Start(0), refused)
+	require.Len(t, acts, 1)
+	require.Equal(t, 1, paid)
+	acts = answer(p, 0, acts, refused)
+	require.Empty(t, acts)
+	require.True(t, p.Finished())
+}
+
 // TestAttemptsBoundTheServersThatMayHaveRunAShard has servers fail and refuse.
 func TestAttemptsBoundTheServersThatMayHaveRunAShard(t *testing.T) {
 	p := forwardPlan(1, Terms{Deadline: time.Second, Timeout: time.Second, Attempts: 2})
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -63,6 +63,8 @@
 	Server  tier.ServerID
 	Solo    bool
 	Hedge   bool
+	// Careful asks for a connection that the server is known to have accepted.
+	Careful bool
 	Cause   Cause
 }
 
@@ -91,6 +93,9 @@
 	// againAt is when the servers are asked once more, rounds how often they were.
 	againAt time.Duration
 	rounds  int
+	// careful is set once a server has reset a new connection at once: whether it
+	// ran the part cannot be told, and the next one must not leave that open.
+	careful bool
 	server  tier.ServerID
 	data    json.RawMessage
 	mark    string
@@ -207,7 +212,7 @@
 	}
 	p.wakeBy(pt, now)
 	p.attempts = append(p.attempts, attempt{shard: shard, server: id, sent: now, hedge: hedge, open: true})
-	p.acts = append(p.acts, Action{Kind: ActSend, Attempt: len(p.attempts) - 1, Shard: tier.Shard(shard), Server: id, Solo: solo, Hedge: hedge})
+	p.acts = append(p.acts, Action{Kind: ActSend, Attempt: len(p.attempts) - 1, Shard: tier.Shard(shard), Server: id, Solo: solo, Hedge: hedge, Careful: pt.careful})
 	return true
 }
 
@@ -248,7 +253,7 @@
 	a.open = false
 	p.parts[a.shard].open--
 	p.ran = p.ran || r.Fate != conn.FateNotRun
-	if r.Fate == conn.FateNotRun || free(r) {
+	if r.Fate == conn.FateNotRun {
 		p.parts[a.shard].asked--
 	}
 	p.queued = max(p.queued, time.Duration(r.QueuedUs)*time.Microsecond)
@@ -315,20 +320,22 @@
 		p.miss(shard, r.Reason)
 		return
 	}
-	if !free(r) && !p.Retry(shard) {
-		p.miss(shard, r.Reason)
+	refused := r.Reason == tier.ReasonRefused
+	pt.careful = pt.careful || refused
+	paid := free(r) || p.Retry(shard)
+	if paid && p.send(now, shard, false, p.canary == shard) {
 		return
 	}
-	if !p.send(now, shard, false, p.canary == shard) && !p.later(now, shard, r) {
+	if (!free(r) && !refused) || !p.later(now, shard) {
 		p.miss(shard, r.Reason)
 	}
 }
 
 // later has the servers of a shard asked once more after a while, where none
 // of them had room for a connection.
-func (p *Plan) later(now time.Duration, shard int, r conn.Reply) bool {
+func (p *Plan) later(now time.Duration, shard int) bool {
 	pt := &p.parts[shard]
-	if p.Terms.Again == 0 || !free(r) || pt.rounds >= mostRounds {
+	if p.Terms.Again == 0 || pt.rounds >= mostRounds || (p.Terms.Attempts > 0 && pt.asked >= p.Terms.Attempts) {
 		return false
 	}
 	pt.againAt = now + p.Terms.Again<<pt.rounds
@@ -345,8 +352,6 @@
 // one never reached a server that works.
 func free(r conn.Reply) bool {
 	switch r.Reason {
-	case tier.ReasonRefused:
-		return true
 	case tier.ReasonDraining, tier.ReasonNoOwner, tier.ReasonVersion, tier.ReasonLost:
 		return r.Fate == conn.FateNotRun
 	default:
