--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -50,7 +50,7 @@
 	goneTimeout = 100 * time.Millisecond
 	// directDial bounds the set-up of a connection, three round trips between
 	// zones and a busy listener.
-	directDial = 400 * time.Millisecond
+	directDial = 120 * time.Millisecond
 	// longBody is the size from which a request's body is written beside the
 	// reading of the answer, since a server may answer before it has read it.
 	longBody = 8 << 10
--- a/internal/proc/pace/pace.go
+++ b/internal/proc/pace/pace.go
@@ -37,7 +37,7 @@
 	// zoneShare is the share of a request's target that staying in the zone is
 	// worth: an answer within the target is worth the same however early it is,
 	// and bytes between zones cost.
-	zoneShare = 4
+	zoneShare = 3
 )
 
 // Load is what a server says of itself with an answer.
