--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -76,5 +76,6 @@
 		}
 	}()
 	reload := &Reloader{Node: n, Path: p.Path, Load: p.Load, Signals: hups}
+	defer lines.Flush()
 	return n.Run(ctx, lines.Run, reload.Run)
 }
