--- a/internal/proc/pace/pace.go
+++ b/internal/proc/pace/pace.go
@@ -28,10 +28,10 @@
 	// missWeight is the weight of one new outcome in the share of requests that a
 	// server fails or refuses, missLife the time in which that share halves.
 	missWeight = 0.2
-	missLife   = 3 * time.Second
-	// missShare is the share of a request's target that a sure miss costs: the
-	// time of a second server, and a repeat of the budget.
-	missShare = 2
+	missLife   = 4 * time.Second
+	// missShare divides a request's target into what a sure miss costs: the time
+	// of a second server, and a repeat of the budget.
+	missShare = 1
 	// loadLife is how long a reported queue counts.
 	loadLife = 250 * time.Millisecond
 	// zoneShare is the share of a request's target that staying in the zone is
