--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -306,9 +306,7 @@
 func (p *Plan) lost(now time.Duration, shard int, r conn.Reply) {
 	pt := &p.parts[shard]
 	pt.reason = r.Reason
-	if r.Reason == tier.ReasonOverload || r.Reason == tier.ReasonShed {
-		p.overload, pt.shed = true, true
-	}
+	p.overloaded(shard, r.Reason)
 	if r.Died && !p.Unsafe.RetryDeaths {
 		p.died(now, shard)
 		return
@@ -331,6 +329,13 @@
 	}
 }
 
+// overloaded notes that a shard was not served for want of room.
+func (p *Plan) overloaded(shard int, reason tier.Reason) {
+	if reason == tier.ReasonOverload || reason == tier.ReasonShed {
+		p.overload, p.parts[shard].shed = true, true
+	}
+}
+
 // later has the servers of a shard asked once more after a while, where none
 // of them had room for a connection.
 func (p *Plan) later(now time.Duration, shard int) bool {
