--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -64,7 +64,7 @@
 		return edge.Settings{}, err
 	}
 	return edge.Settings{
-		ID: s.ID, Name: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control, LinkPort: s.LinkPort, GossipPort: s.Gossip,
+		ID: s.ID, Bind: s.Bind, Name: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control, LinkPort: s.LinkPort, GossipPort: s.Gossip,
 		Seeds: s.Seeds, Found: s.Found, Data: s.Data, Tolerance: s.Tolerance, BeatEvery: s.BeatMs.Duration(), Grace: s.GraceMs.Duration(),
 		AnswerTTL: s.TTLMs.Duration(), MemoryBytes: int64(s.Limits.MemoryMB) * megabyte,
 		Budget: reqst.Allowance{Ratio: float64(s.Repeats.Percent) / percent, Fixed: float64(s.Repeats.Fixed), Window: s.Repeats.WindowMs.Duration()},
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -37,7 +37,7 @@
 }
 
 func (g *gossip) start(self spread.Host, lease time.Duration) error {
-	addr, err := net.ResolveUDPAddr("udp", g.settings.gossipAddress(g.settings.ID))
+	addr, err := net.ResolveUDPAddr("udp", g.settings.gossipAddress(g.settings.bind()))
 	if err != nil {
 		return tier.At("resolve gossip address", string(g.settings.ID), err)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -98,7 +98,7 @@
 		n.Certs = &conn.Certs{Self: n.Settings.ID}
 	}
 	n.mesh = &conn.Mesh{
-		Self: n.Settings.ID, Listen: n.Settings.linkAddress(n.Settings.ID), Certs: n.Certs,
+		Self: n.Settings.ID, Listen: n.Settings.linkAddress(n.Settings.bind()), Certs: n.Certs,
 		Refused: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
 	}
 	n.raft = &conn.Sender{Mesh: n.mesh, Kind: kindRaft, Resolve: n.peer}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -31,6 +31,9 @@
 	// LinkPort is for streams between nodes (UDP, QUIC), GossipPort for their datagrams.
 	LinkPort   int
 	GossipPort int
+	// Bind is the IP address on which other nodes are served, if not the id: the
+	// id may be that of a relay in front of the node.
+	Bind tier.NodeID
 	// Seeds are nodes to ask first.
 	Seeds []tier.NodeID
 	// Found is set at the first start of the whole fleet.
@@ -76,4 +79,12 @@
 // gossipAddress returns a node's address for datagrams.
 func (s *Settings) gossipAddress(id tier.NodeID) string { return at(id, s.GossipPort) }
 
+// bind returns the IP address on which other nodes are served.
+func (s *Settings) bind() tier.NodeID {
+	if s.Bind != "" {
+		return s.Bind
+	}
+	return s.ID
+}
+
 func at(id tier.NodeID, port int) string { return net.JoinHostPort(string(id), strconv.Itoa(port)) }
--- a/internal/setup/edge.go
+++ b/internal/setup/edge.go
@@ -17,6 +17,7 @@
 	Control   string        `json:"control" doc:"Address on which servers and operators are served (HTTP)." allow:"ip:port"`
 	LinkPort  int           `json:"link_port" doc:"Port for streams between nodes (UDP, QUIC); the same on all nodes." allow:"1 to 65535" default:"7740"`
 	Gossip    int           `json:"gossip_port" doc:"Port for datagrams between nodes (UDP); the same on all nodes." allow:"1 to 65535" default:"7741"`
+	Bind      tier.NodeID   `json:"bind" doc:"IP address on which other nodes are served, if not id: behind a relay." allow:"an IP address" default:"id"`
 	Seeds     []tier.NodeID `json:"seeds" doc:"Ids of nodes to ask first; three, of which one must be up at a start." allow:"1 to 9 IP addresses"`
 	Found     bool          `json:"found" doc:"Whether this is the first start of the whole fleet; the seeds then found the control group." default:"false"`
 	Data      string        `json:"data" doc:"Data folder; with one the node holds a replica of the control log." allow:"a path"`
@@ -88,6 +89,9 @@
 // edge checks what the types do not say.
 func (c *checker) edge(s *Edge) {
 	c.ip("id", string(s.ID))
+	if s.Bind != "" {
+		c.ip("bind", string(s.Bind))
+	}
 	c.name("name", s.Name)
 	c.name("zone", string(s.Zone))
 	c.name("region", string(s.Region))
