--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -16,11 +16,14 @@
 )
 
 func platformCommand(o *options) *cobra.Command {
-	return &cobra.Command{
+	var metrics int
+	cmd := &cobra.Command{
 		Use: "platform", Short: "Run a node on the users' machines", Args: cobra.NoArgs,
 		Long: "Run a node by the settings file that the platform writes, until SIGTERM or SIGINT has\nstopped it. deploy/system.toml says where the nodes run.",
-		RunE: func(cmd *cobra.Command, _ []string) error { return platform.Run(cmd.Context(), o.out) },
+		RunE: func(cmd *cobra.Command, _ []string) error { return platform.Run(cmd.Context(), o.out, metrics) },
 	}
+	cmd.Flags().IntVar(&metrics, "metrics", 0, "port on which metrics are served under /metrics; 0 is none")
+	return cmd
 }
 
 func edgeCommand(o *options) *cobra.Command {
--- a/internal/edge/catalog.go
+++ b/internal/edge/catalog.go
@@ -94,6 +94,15 @@
 // Candidates returns the servers of a service that take new requests.
 func (c *catalog) Candidates(s tier.Service) []tier.Candidate { return c.offer.Load().services[s] }
 
+// count returns the number of servers of each service that take new requests.
+func (c *catalog) count() map[tier.Service]int {
+	out := map[tier.Service]int{}
+	for s, list := range c.offer.Load().services {
+		out[s] = len(list)
+	}
+	return out
+}
+
 // Direct returns the connections to a server, or nil if it is gone.
 func (c *catalog) Direct(id tier.ServerID) *conn.Direct {
 	if t := c.offer.Load().targets[id]; t != nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -41,6 +41,8 @@
 type Listener struct {
 	Address string
 	Handler http.Handler
+	// Optional says that the node runs without it where its address is taken.
+	Optional bool
 }
 
 // Node is one process. Set the exported fields, then call Build and Run.
@@ -197,7 +199,10 @@
 		n.actor(base, &g, f)
 	}
 	for _, l := range n.Listeners {
-		if err := n.listen(&g, l); err != nil {
+		switch err := n.listen(&g, l); {
+		case err != nil && l.Optional:
+			event.ListenFailed.Log(n.Log, err, nil)
+		case err != nil:
 			_ = n.mesh.Close()
 			return err
 		}
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
+	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -112,8 +113,47 @@
 	return c.JSON(http.StatusOK, out)
 }
 
-// Metrics serves counters and latencies as text.
+// Metrics serves counters, states and latencies as text.
 func (n *Node) Metrics(c echo.Context) error {
+	n.gauges(c.Request().Context())
 	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 	return n.Stats.WriteText(c.Response())
 }
+
+// gauges notes what holds at this moment: requests, budgets, membership, log.
+func (n *Node) gauges(ctx context.Context) {
+	set := n.Stats.Gauge
+	set("requests_open", "", float64(n.door.Open()))
+	set("routes_version", "", float64(n.routesVersion()))
+	for service, left := range n.door.Budgets() {
+		set("budget_left", string(service), left)
+	}
+	hosts := map[spread.HostState]float64{}
+	for _, h := range n.gossip.list() {
+		hosts[h.State]++
+	}
+	set("hosts", "up", hosts[spread.HostUp])
+	set("hosts", "leaving", hosts[spread.HostLeaving])
+	set("hosts", "down", hosts[spread.HostDown])
+	for service, count := range n.catalog.count() {
+		set("servers_ready", string(service), float64(count))
+	}
+	if r := n.replica.Load(); r != nil {
+		ctx, cancel := context.WithTimeout(ctx, opsTimeout)
+		defer cancel()
+		st, err := r.Status(ctx)
+		if err != nil {
+			event.ReplicaSilent.Log(n.Log, err, nil)
+			return
+		}
+		set("control_term", "", float64(st.Term))
+		set("control_log", "last", float64(st.Last))
+		set("control_log", "applied", float64(st.Applied))
+		set("control_voters", "", float64(len(st.Members.Voters)))
+		leads := 0.0
+		if st.Leader == st.Replica {
+			leads = 1
+		}
+		set("control_leads", "", leads)
+	}
+}
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -66,6 +66,8 @@
 	SettingsRefused   = Event{219, logrus.WarnLevel, "changed settings refused", "The file cannot be read or is invalid; the node keeps the settings that it has. Fields: why."}
 	LeaderReached     = Event{221, logrus.InfoLevel, "control leader reached", "The first time, or again. Fields: leader."}
 	LeaderMissed      = Event{222, logrus.WarnLevel, "control leader not reached", "An operator's call found no control host with a quorum in its time."}
+	ListenFailed      = Event{223, logrus.WarnLevel, "optional listener failed", "The address of the metrics cannot be opened; the node serves without it."}
+	ReplicaSilent     = Event{224, logrus.WarnLevel, "control replica does not answer", "Asked for its state by the metrics; its disk may hang."}
 	HostChanged       = Event{216, logrus.InfoLevel, "host changed", "A node came, went, started again or changed its readiness, as this node learned it. Fields: host, state, boot (its start), seq (version of the news), ready."}
 	SettingsInvalid   = Event{211, logrus.ErrorLevel, "settings invalid", "Fields: file, line, key."}
 )
@@ -90,6 +92,6 @@
 var Catalogue = []Event{
 	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotMade, SnapshotInstalled, DiskFailed, CommandBad, ConfigAccepted, HubOpened, RoutesAccepted,
 	NodeStarted, NodeReady, ConfigInForce, ControlLost, ControlFound, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
-	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopens, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, CopyFailed, LeaderReached, LeaderMissed,
+	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopens, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, CopyFailed, LeaderReached, LeaderMissed, ListenFailed, ReplicaSilent,
 	ServerUp, ServerGone, ServerDied, ServerSilent, AnswerRejected, AnnounceRefused, AccessRefused, RequestPoisonous, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
 }
--- a/internal/proc/stats/registry.go
+++ b/internal/proc/stats/registry.go
@@ -1,8 +1,6 @@
 package stats
 
 import (
-	"fmt"
-	"io"
 	"sort"
 	"sync"
 	"time"
@@ -60,6 +58,11 @@
 	return metrics.GetOrRegisterCounter(key, r.counters)
 }
 
+// Gauge sets the gauge name{label}.
+func (r *Registry) Gauge(name, label string, v float64) {
+	metrics.GetOrRegisterGaugeFloat64(name+"\x00"+label, r.counters).Update(v)
+}
+
 // Counter returns the value of the counter name{label}.
 func (r *Registry) Counter(name, label string) int64 {
 	return metrics.GetOrRegisterCounter(name+"\x00"+label, r.counters).Count()
@@ -134,39 +137,3 @@
 	}
 	return key, ""
 }
-
-// WriteText writes all values in the usual text exposition form.
-func (r *Registry) WriteText(w io.Writer) error {
-	var lines []string
-	r.counters.Each(func(key string, v any) {
-		c, ok := v.(metrics.Counter)
-		if !ok {
-			return
-		}
-		name, label := split(key)
-		lines = append(lines, fmt.Sprintf("sassafrasring_%s_total{label=%q} %d", name, label, c.Count()))
-	})
-	sort.Strings(lines)
-	for _, s := range r.Series() {
-		lines = append(lines, s.lines()...)
-	}
-	for _, l := range lines {
-		if _, err := fmt.Fprintln(w, l); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (s Series) lines() []string {
-	quantile := func(q string, ms float64) string {
-		return fmt.Sprintf("sassafrasring_latency_seconds{%s=%q,quantile=%q} %g", s.Kind, s.Label, q, ms/1000)
-	}
-	return []string{
-		quantile("0.5", s.Summary.P50Ms),
-		quantile("0.99", s.Summary.P99Ms),
-		quantile("0.999", s.Summary.P999Ms),
-		quantile("1", s.Summary.MaxMs),
-		fmt.Sprintf("sassafrasring_latency_seconds_count{%s=%q} %d", s.Kind, s.Label, s.Summary.Count),
-	}
-}
--- a/internal/proc/stats/stats.go
+++ b/internal/proc/stats/stats.go
@@ -40,6 +40,8 @@
 	P99Ms  float64 `json:"p99_ms"`
 	P999Ms float64 `json:"p999_ms"`
 	MaxMs  float64 `json:"max_ms"`
+
+	sumMs float64
 }
 
 // Summary returns count, quantiles and the greatest value.
@@ -53,6 +55,7 @@
 		P99Ms:  ms(h.h.ValueAtQuantile(99)),
 		P999Ms: ms(h.h.ValueAtQuantile(99.9)),
 		MaxMs:  ms(h.h.Max()),
+		sumMs:  h.h.Mean() * float64(h.h.TotalCount()) / 1000,
 	}
 }
 
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -154,6 +154,18 @@
 	return share
 }
 
+// Budgets returns the share of the allowance of extra sub-requests that is left, by service.
+func (d *Door) Budgets() map[tier.Service]float64 {
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[tier.Service]float64, len(d.extras))
+	for s, x := range d.extras {
+		out[s] = x.Fill(now, d.fixed(now))
+	}
+	return out
+}
+
 func (d *Door) extra(s tier.Service) *Extra {
 	x := d.extras[s]
 	if x == nil {
