--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 RAPID = -rapid.checks=300 -rapid.seed=7
 
-.PHONY: build run test unit system lint model docs fuzz
+.PHONY: build run test unit system soak lint model docs fuzz
 
 build:
 	$(GO) build -o bin/ . ./cmd/...
@@ -15,13 +15,19 @@
 
 # Decision logic, disk, codecs, traces; with the race detector.
 unit:
-	scripts/known.sh $(GO) test -race $$($(GO) list ./... | grep -v -e internal/system -e platform)
+	scripts/known.sh $(GO) test -race $$($(GO) list ./... | grep -v -e internal/system -e internal/soak -e platform)
 	$(GO) test ./internal/proc/quorum ./internal/proc/hub ./internal/proc/spread ./internal/conn ./internal/reqst $(RAPID)
 
 # Real processes: kills, freezes, wiped disks, drains, faults of servers.
 system:
 	command -v curl >/dev/null || (apt-get update && apt-get install -y curl)
 	scripts/known.sh $(GO) test -timeout 30m ./internal/system ./platform
+	scripts/known.sh $(GO) test -timeout 10m ./internal/soak
+
+# Real nodes under seeded faults; a promise that was broken is printed with its seed.
+SEEDS ?= 50
+soak: build
+	bin/soak -runs $(SEEDS)
 
 lint:
 	$(LINT) run ./...
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,32 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSoak runs real processes under faults for a few seconds. Seeds of runs
+// that once broke a promise stay here, each with its cause.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "sassafrasring")
+	out, err := exec.Command("go", "build", "-o", binary, "../..").CombinedOutput()
+	require.NoError(t, err, string(out))
+	for _, c := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{seed: 1}, {seed: 2},
+	} {
+		f := &Fleet{Binary: binary, Dir: t.TempDir(), Seed: c.seed, Hosts: 4, Disks: 3, Length: 4 * time.Second, Out: os.Stderr}
+		r, err := f.Run(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, r.Breaks, "seed %d %s", c.seed, c.cause)
+		require.Positive(t, r.Served)
+		require.Positive(t, r.Tables)
+	}
+}
