A host that is cut off says 503, not 404, for routes that it does not know

Cause: a node answered 404 for a route that was added while it could reach nobody; callers do not ask another host after a 404. Change: the membership tells whether anybody has been heard from for a second; a node that is alone, or has not met anybody since its start, answers an unknown route with 503 and when to come back. Routes that it knows are served as before. Ruled out: contact with a quorum as the condition: every digest carries the newest version that its sender knows, so one peer is enough.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -155,6 +155,12 @@
 	g.do(func(now time.Duration, s *spread.State) { s.SetRoutes(now, v) })
 }
 
+// connected reports whether other hosts have been heard from lately.
+func (g *gossip) connected() (yes bool) {
+	g.do(func(now time.Duration, s *spread.State) { yes = !s.Alone(now) })
+	return yes
+}
+
 func (g *gossip) pending() (n int) {
 	g.do(func(_ time.Duration, s *spread.State) { n = s.Pending() })
 	return n
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -112,7 +112,7 @@
 	n.door = &reqst.Door{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
-		Budget: n.Settings.Budget, Entries: n.gossip.active, Died: n.serverDied,
+		Budget: n.Settings.Budget, Entries: n.gossip.active, Died: n.serverDied, Sure: n.gossip.connected,
 	}
 }
 
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -14,7 +14,7 @@
 	if p.From == s.self.ID || p.From == "" {
 		return
 	}
-	s.answered = true
+	s.answered, s.heard = true, now
 	s.heardFrom(p.From)
 	if p.Ack != 0 {
 		delete(s.pushes, p.Ack)
--- a/internal/proc/spread/spread_test.go
+++ b/internal/proc/spread/spread_test.go
@@ -242,6 +242,31 @@
 	}
 }
 
+// TestHostThatIsCutOffIsAlone cuts a host off, starts one whose seeds are
+// silent, and has one that knows of no other.
+func TestHostThatIsCutOffIsAlone(t *testing.T) {
+	w := newNet(10, 4)
+	w.run(2 * time.Second)
+	cut := nodeID(2)
+	require.False(t, w.states[cut].Alone(w.now))
+	for _, id := range w.order {
+		w.cut[[2]tier.NodeID{cut, id}], w.cut[[2]tier.NodeID{id, cut}] = true, true
+	}
+	w.run(1500 * time.Millisecond)
+	require.True(t, w.states[cut].Alone(w.now))
+	require.False(t, w.states[nodeID(0)].Alone(w.now))
+	w.cut = map[[2]tier.NodeID]bool{}
+	w.run(3 * time.Second)
+	require.False(t, w.states[cut].Alone(w.now))
+
+	early := &State{Seeds: []tier.NodeID{nodeID(8), nodeID(9)}}
+	early.Start(w.now, Host{ID: nodeID(9)})
+	require.True(t, early.Alone(w.now))
+	single := &State{Seeds: []tier.NodeID{nodeID(9)}}
+	single.Start(w.now, Host{ID: nodeID(9)})
+	require.False(t, single.Alone(w.now))
+}
+
 func TestPushesAreConfirmed(t *testing.T) {
 	w := newNet(7, 8)
 	w.run(3 * time.Second)
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -18,6 +18,9 @@
 	// down for its silence has missed a dozen datagrams, not three.
 	insistAfter = 150 * time.Millisecond
 	insistEvery = 50 * time.Millisecond
+	// aloneAfter is how long a host may hear from nobody before it counts as cut
+	// off: three rounds of probes to three hosts each.
+	aloneAfter = time.Second
 	// downAfter is how long a probed host may stay silent; callers abandon a
 	// connection after a second, so a dead host must be off the lists by then.
 	downAfter = 900 * time.Millisecond
@@ -89,6 +92,7 @@
 	swept    time.Duration
 	ticked   time.Duration
 	answered bool
+	heard    time.Duration
 	round    int
 	news     []tier.ServerID
 	hostNews []tier.NodeID
@@ -154,6 +158,16 @@
 	}
 }
 
+// Alone reports whether nobody has been heard from for so long that what is
+// known here may be old. A host that knows of no other is not alone.
+func (s *State) Alone(now time.Duration) bool {
+	others := len(s.hosts) > 1
+	for _, id := range s.Seeds {
+		others = others || id != s.self.ID
+	}
+	return others && (!s.answered || now-s.heard > aloneAfter)
+}
+
 // Hosts returns all records of hosts, sorted by id.
 func (s *State) Hosts() []Host {
 	out := make([]Host, 0, len(s.hosts))
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -106,6 +106,9 @@
 	Died func(tier.Fingerprint, tier.ServerID)
 	// Entries returns the number of live nodes that share the budget.
 	Entries func() int
+	// Sure reports whether the routing table is recent enough to say that a route
+	// does not exist; nil is always.
+	Sure func() bool
 
 	mu       sync.Mutex
 	extras   map[tier.Service]*Extra
@@ -201,6 +204,9 @@
 		return refusal(tier.ReasonNoControl, briefRetry)
 	}
 	r := table.Match(in.Host, in.Path)
+	if r == nil && d.Sure != nil && !d.Sure() {
+		return refusal(tier.ReasonNoControl, briefRetry)
+	}
 	if r == nil {
 		return Outbound{Status: http.StatusNotFound, Reason: tier.ReasonNoRoute}
 	}
