Late answers are logged with the sub-requests that made them late; without a target a route is in time until its timeout

Cause: only failures and samples were logged, so that a late answer could not be explained from its id. The first lines showed answers of a route without a target as late after 1 ms: its target counted as 0, so that a gather settled at once, with parts missing. Change: late answers share the rate limit of failures and name every sub-request that took longer than 1.8 usual times; requests_late counts them. Route.Objective is the target, or the timeout where none is known. Test: TestRouteWithoutATargetIsInTimeUntilItsTimeout (before: the target was at 0, and settling 10 ms before that).

--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -191,7 +191,7 @@
 func (d *Door) kind(r *vers.Route) pace.Kind {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return pace.Kind{Base: max(d.median(r.Name).Value(r.Target/guessShare), time.Millisecond), Target: r.Target}
+	return pace.Kind{Base: max(d.median(r.Name).Value(r.Objective()/guessShare), time.Millisecond), Target: r.Objective()}
 }
 
 // Forward answers one request.
@@ -294,7 +294,7 @@
 		left = min(left, f.in.Left)
 	}
 	f.deadline = now + left
-	f.target = now + r.Target - (r.Timeout - left)
+	f.target = now + r.Objective() - (r.Timeout - left)
 }
 
 // drawPart chooses a service of a split by weight.
@@ -331,7 +331,7 @@
 	}
 	if len(r.Gather) > 0 {
 		t.Least = leastParts(r)
-		t.Settle = f.target - max(r.Target/wayShare, leastWay)
+		t.Settle = f.target - max(r.Objective()/wayShare, leastWay)
 	}
 	return t
 }
--- a/internal/reqst/door_plan_test.go
+++ b/internal/reqst/door_plan_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -141,6 +142,22 @@
 	require.Equal(t, 1, missing)
 }
 
+// TestRouteWithoutATargetIsInTimeUntilItsTimeout waits for stragglers of a
+// route whose operator names no target.
+func TestRouteWithoutATargetIsInTimeUntilItsTimeout(t *testing.T) {
+	f := &flight{route: &vers.Route{Gather: []tier.Service{"a", "b"}, Timeout: 800 * ms, Idempotent: true}, in: &Inbound{}}
+	f.times(0)
+	require.Equal(t, 800*ms, f.target)
+	require.Equal(t, 700*ms, f.terms().Settle)
+	f.in.Left = 400 * ms
+	f.times(0)
+	require.Equal(t, 400*ms, f.target)
+	f.route.Target = 200 * ms
+	f.in.Left = 0
+	f.times(0)
+	require.Equal(t, 200*ms, f.target)
+}
+
 // TestTooManyMissingShardsEndARequestAtOnce does not let it wait for its deadline.
 func TestTooManyMissingShardsEndARequestAtOnce(t *testing.T) {
 	p := forwardPlan(10, Terms{Deadline: time.Second, Timeout: time.Second, Attempts: 1, Least: 9})
--- a/internal/reqst/trail.go
+++ b/internal/reqst/trail.go
@@ -17,7 +17,7 @@
 	// sampleShare is one in how many successes that are logged; the choice goes
 	// by the request's id, so that all nodes log the same requests.
 	sampleShare = 256
-	// failuresPerSecond bounds the failures that one node logs.
+	// failuresPerSecond bounds the failed and late requests that one node logs.
 	failuresPerSecond = 20
 	// mostTried bounds the sub-requests that one line tells of.
 	mostTried = 12
@@ -54,12 +54,12 @@
 	}
 }
 
-// unhappy lists the sub-requests that failed or have not ended.
-func (t *trail) unhappy(now time.Duration) []string {
+// unhappy lists the sub-requests that failed, have not ended or took longer than slow.
+func (t *trail) unhappy(now, slow time.Duration) []string {
 	var out []string
 	for i := range t.tries {
 		r := &t.tries[i]
-		if (!r.open && r.reason == tier.ReasonNone) || len(out) == mostTried {
+		if (!r.open && r.reason == tier.ReasonNone && r.ended-r.sent <= slow) || len(out) == mostTried {
 			continue
 		}
 		why, end := string(r.reason), r.ended
@@ -94,7 +94,7 @@
 
 func sampled(id string) bool { return xxhash.Sum64String(id)%sampleShare == 0 }
 
-// log writes one line on a request that failed or was sampled.
+// log writes one line on a request that failed, was late or was sampled.
 func (f *flight) log(out *Outbound) {
 	d := f.door
 	now := d.Clock.Now()
@@ -104,11 +104,15 @@
 	if failed {
 		d.Stats.Count("requests_failed", f.route.Name+"/"+string(out.Reason))
 	}
-	if failed && !d.failures.allow(now) {
+	late := !failed && now > f.target
+	if late {
+		d.Stats.Count("requests_late", f.route.Name)
+	}
+	if (failed || late) && !d.failures.allow(now) {
 		d.Stats.Count("log_lines_dropped", "failures")
 		return
 	}
-	if !failed && !sampled(f.in.ID) {
+	if !failed && !late && !sampled(f.in.ID) {
 		return
 	}
 	e := event.RequestServed
@@ -119,6 +123,6 @@
 	e.Log(d.Log, nil, logrus.Fields{
 		"request": f.in.ID, "route": f.route.Name, "table": f.table, "status": out.Status, "reason": out.Reason,
 		"took_ms": (now - f.trail.began).Milliseconds(), "left_ms": (f.deadline - now).Milliseconds(), "base_ms": f.kind.Base.Milliseconds(),
-		"parts": done, "missing": missing, "hedges": hedges, "tries": f.trail.unhappy(now),
+		"late": late, "parts": done, "missing": missing, "hedges": hedges, "tries": f.trail.unhappy(now, time.Duration(hedgeEarly*float64(f.kind.Base))),
 	})
 }
--- a/internal/vers/routes.go
+++ b/internal/vers/routes.go
@@ -50,6 +50,15 @@
 	Least float64
 }
 
+// Objective returns the time within which an answer is wanted: the target, or
+// the timeout where no target is known.
+func (r *Route) Objective() time.Duration {
+	if r.Target > 0 {
+		return r.Target
+	}
+	return r.Timeout
+}
+
 // Services returns every service that the route names.
 func (r *Route) Services() []tier.Service {
 	if r.Service != "" {
