Hosts compare their records in finer groups, and only once the news have had time to arrive

While any record was on its way, sums differed, and every probe then cost all records of hosts (one group) and a sixteenth of the servers, both ways. Change: 32 groups of hosts and 64 of servers; a probe with another sum is answered with the digest only when nothing has changed for 200 ms, or 900 ms after the last one; a host begins a comparison every 150 ms at most. Digests have new keys, so that former versions compare everything, as with an empty one. TestRestartedHostIsUpAgain changed a node's start behind the back of its own table, which made that table differ from the node itself; it now starts the node with the earlier time, and checks the same.

--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -30,7 +30,7 @@
 	if p.Number != 0 {
 		s.send(p.From, Packet{Ack: p.Number})
 	}
-	s.compare(p)
+	s.compare(now, p)
 }
 
 func (s *State) heardFrom(id tier.NodeID) {
@@ -59,19 +59,23 @@
 
 // compare answers probes and digests: what differs is sent, and asked for
 // where the other side has not said what it holds.
-func (s *State) compare(p Packet) {
+func (s *State) compare(now time.Duration, p Packet) {
 	mine := s.digest
 	if p.Probe != 0 {
 		r := Packet{Reply: p.Probe}
-		if p.Sum != mine.sum() {
+		if p.Sum != mine.sum() && s.tells(now, &p) {
+			s.told = now
 			r.Digest = &mine
 		}
 		s.send(p.From, r)
 		return
 	}
-	if p.Digest == nil || *p.Digest == mine {
+	if p.Digest == nil || *p.Digest == mine || (p.Reply != 0 && now-s.compared < compareEvery) {
 		return
 	}
+	if p.Reply != 0 {
+		s.compared = now
+	}
 	pkts := s.differing(p.Digest)
 	if len(pkts) == 0 {
 		pkts = []Packet{{}}
@@ -84,17 +88,24 @@
 	}
 }
 
+// tells reports whether a probe with another sum is answered with the digest:
+// to a host that introduces itself always, and otherwise once the news that may
+// make the difference have had the time to arrive.
+func (s *State) tells(now time.Duration, p *Packet) bool {
+	return len(p.Hosts) > 0 || now-s.changed >= calmAfter || now-s.told >= comparedAnyhow
+}
+
 // differing packs the records of all groups in which a digest differs.
 func (s *State) differing(d *Digest) []Packet {
 	var hosts []tier.NodeID
-	if d.Hosts != s.digest.Hosts {
-		for id := range s.hosts {
+	for id := range s.hosts {
+		if *d.host(id) != *s.digest.host(id) {
 			hosts = append(hosts, id)
 		}
 	}
 	var servers []tier.ServerID
 	for id := range s.servers {
-		if b := bucketOf(id); d.Servers[b] != s.digest.Servers[b] {
+		if *d.server(id) != *s.digest.server(id) {
 			servers = append(servers, id)
 		}
 	}
@@ -313,7 +324,7 @@
 	}
 	for id, e := range s.hosts {
 		if e.rec.State == HostDown && now-e.downAt > lostHost && id != s.self.ID {
-			s.digest.Hosts -= e.sum
+			*s.digest.host(id) -= e.sum
 			delete(s.hosts, id)
 		}
 	}
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -113,30 +113,44 @@
 }
 
 // digest returns the hash of a record's version and content.
-func digest(record any) uint64 {
+func digest(record any) uint32 {
 	b, err := frame.Marshal(record)
 	if err != nil {
 		// Records are plain structs, which always encode.
 		panic(err)
 	}
-	return xxhash.Sum64(b)
+	return uint32(xxhash.Sum64(b))
 }
 
-// buckets is the number of groups into which servers fall for comparison.
-const buckets = 16
+// Numbers of groups into which records fall for comparison: a record that
+// differs costs its whole group, some five records in a fleet of hundreds.
+const (
+	hostBuckets   = 32
+	serverBuckets = 64
+)
 
-// Digest sums up all records: one hash for the hosts and one for each bucket of servers.
+// Digest sums up all records, one hash for each group. Keys 1 and 2 were
+// taken by coarser groups.
 type Digest struct {
-	Hosts   uint64          `cbor:"1,keyasint"`
-	Servers [buckets]uint64 `cbor:"2,keyasint"`
+	Hosts   [hostBuckets]uint32   `cbor:"3,keyasint"`
+	Servers [serverBuckets]uint32 `cbor:"4,keyasint"`
 }
 
 func (d *Digest) sum() uint64 {
-	h := d.Hosts
-	for i, s := range d.Servers {
-		h = h*31 + s + uint64(i)
+	h := uint64(0)
+	for _, s := range d.Hosts {
+		h = h*31 + uint64(s) + 1
+	}
+	for _, s := range d.Servers {
+		h = h*31 + uint64(s) + 1
 	}
 	return h
 }
 
-func bucketOf(id tier.ServerID) int { return int(xxhash.Sum64String(string(id)) % buckets) }
+func (d *Digest) host(id tier.NodeID) *uint32 {
+	return &d.Hosts[xxhash.Sum64String(string(id))%hostBuckets]
+}
+
+func (d *Digest) server(id tier.ServerID) *uint32 {
+	return &d.Servers[xxhash.Sum64String(string(id))%serverBuckets]
+}
--- a/internal/proc/spread/spread_test.go
+++ b/internal/proc/spread/spread_test.go
@@ -24,6 +24,8 @@
 	down   map[tier.NodeID]bool
 	cut    map[[2]tier.NodeID]bool
 	wire   []flying
+	// tap sees every packet that is sent.
+	tap func(*Packet)
 }
 
 type flying struct {
@@ -43,9 +45,13 @@
 	return w
 }
 
-func nodeID(i int) tier.NodeID { return tier.NodeID(fmt.Sprintf("10.0.0.%d", i+1)) }
+func nodeID(i int) tier.NodeID { return tier.NodeID(fmt.Sprintf("10.0.%d.%d", i/250, i%250+1)) }
 
 func (w *net) add(id tier.NodeID, seeds []tier.NodeID) {
+	w.start(id, seeds, uint64(1+w.now/time.Millisecond))
+}
+
+func (w *net) start(id tier.NodeID, seeds []tier.NodeID, boot uint64) {
 	s := &State{Lease: testLease, Seeds: seeds, Rand: w.rand}
 	if w.states[id] == nil {
 		w.order = append(w.order, id)
@@ -55,12 +61,15 @@
 	if len(w.order) <= 3 {
 		replica = id.Replica("x")
 	}
-	s.Start(w.now, Host{ID: id, Boot: uint64(1 + w.now/time.Millisecond), Callers: string(id), Replica: replica})
+	s.Start(w.now, Host{ID: id, Boot: boot, Callers: string(id), Replica: replica})
 	w.collect(id)
 }
 
 func (w *net) collect(from tier.NodeID) {
 	for _, s := range w.states[from].Take().Sends {
+		if w.tap != nil {
+			w.tap(&s.Packet)
+		}
 		if w.rand.Float64() >= w.loss {
 			w.wire = append(w.wire, flying{w.now + time.Duration(1+w.rand.IntN(20))*time.Millisecond, s})
 		}
@@ -232,8 +241,7 @@
 func TestRestartedHostIsUpAgain(t *testing.T) {
 	w := newNet(6, 6)
 	w.run(3 * time.Second)
-	w.add(nodeID(4), []tier.NodeID{nodeID(0), nodeID(1)})
-	w.states[nodeID(4)].self.Boot = 1
+	w.start(nodeID(4), []tier.NodeID{nodeID(0), nodeID(1)}, 1)
 	w.run(2 * time.Second)
 	for _, id := range w.order {
 		h := w.states[id].hosts[nodeID(4)].rec
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -30,6 +30,14 @@
 	pushRetry = 150 * time.Millisecond
 	// pushTries is how often a push is sent; digests see to the rest.
 	pushTries = 4
+	// calmAfter is how long nothing must have changed before sums that differ
+	// are looked into: pushes are still on their way before. comparedAnyhow bounds
+	// that where something changes all the time.
+	calmAfter      = 200 * time.Millisecond
+	comparedAnyhow = 900 * time.Millisecond
+	// compareEvery is the least time between two comparisons that a host begins:
+	// the records of the former one must have come.
+	compareEvery = 150 * time.Millisecond
 	// watched is the number of successors on the ring that a host probes.
 	watched = 2
 	// tombstone is how long a record of a server that is gone is kept, above
@@ -43,13 +51,13 @@
 
 type hostEntry struct {
 	rec    Host
-	sum    uint64
+	sum    uint32
 	downAt time.Duration
 }
 
 type serverEntry struct {
 	rec Server
-	sum uint64
+	sum uint32
 	// seq and heard are of the latest beat, where this host is the home.
 	seq    uint64
 	heard  time.Duration
@@ -93,6 +101,11 @@
 	ticked   time.Duration
 	answered bool
 	heard    time.Duration
+	// changed is when a record changed last, told when this host last sent its
+	// digest, compared when it last sent its records by another's.
+	changed  time.Duration
+	told     time.Duration
+	compared time.Duration
 	round    int
 	news     []tier.ServerID
 	hostNews []tier.NodeID
@@ -108,6 +121,7 @@
 	s.pushes = map[uint64]*push{}
 	s.probes = map[tier.NodeID]*probe{}
 	s.greeted, s.ticked = now-greetEvery, now
+	s.told, s.compared = now-comparedAnyhow, now-compareEvery
 	s.putHost(now, self)
 	s.hostNews = append(s.hostNews, self.ID)
 }
@@ -205,14 +219,14 @@
 		e = &hostEntry{}
 		s.hosts[h.ID] = e
 	} else {
-		s.digest.Hosts -= e.sum
+		*s.digest.host(h.ID) -= e.sum
 	}
 	if h.State == HostDown {
 		e.downAt = now
 	}
 	e.rec, e.sum = h, digest(&h)
-	s.digest.Hosts += e.sum
-	s.out.Hosts = true
+	*s.digest.host(h.ID) += e.sum
+	s.out.Hosts, s.changed = true, now
 	return true
 }
 
@@ -222,12 +236,11 @@
 	if e != nil && !e.rec.Less(&r) {
 		return false
 	}
-	b := bucketOf(r.ID)
 	if e == nil {
 		e = &serverEntry{}
 		s.servers[r.ID] = e
 	} else {
-		s.digest.Servers[b] -= e.sum
+		*s.digest.server(r.ID) -= e.sum
 	}
 	if !r.Live() {
 		e.downAt = now
@@ -235,14 +248,15 @@
 	e.rec, e.sum = r, digest(&r)
 	// A home that hears of its own server from others, after its own start, owes it a whole lease.
 	e.heard = now
-	s.digest.Servers[b] += e.sum
+	*s.digest.server(r.ID) += e.sum
+	s.changed = now
 	s.out.Servers = append(s.out.Servers, r)
 	return true
 }
 
 func (s *State) dropServer(id tier.ServerID) {
 	e := s.servers[id]
-	s.digest.Servers[bucketOf(id)] -= e.sum
+	*s.digest.server(id) -= e.sum
 	delete(s.servers, id)
 }
 
