The fleet's allowances go to the hosts that callers use in earnest

Change: busy from 30 requests in 10 s on, for 30 s; four fifths of an allowance for the busy hosts, the rest for all others; counted once a change of the membership in place of once a choice. Ruled out: counting only busy hosts: with little load on every host none would be busy, and each would take the whole allowance.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -33,7 +33,9 @@
 	state spread.State
 	sock  *net.UDPConn
 	hosts atomic.Pointer[[]spread.Host]
-	peers map[tier.NodeID]netip.AddrPort
+	// shares counts hosts; it changes with them, and every choice of a server asks for it.
+	shares atomic.Pointer[crowd]
+	peers  map[tier.NodeID]netip.AddrPort
 }
 
 func (g *gossip) start(self spread.Host, lease time.Duration) error {
@@ -59,6 +61,8 @@
 	if eff.Hosts {
 		list := g.state.Hosts()
 		g.hosts.Store(&list)
+		c := g.counted(list)
+		g.shares.Store(&c)
 	}
 	for i := range eff.Sends {
 		g.send(&eff.Sends[i])
@@ -127,15 +131,27 @@
 	return nil
 }
 
-// active returns the number of live hosts that callers use, this one included.
-func (g *gossip) active() int {
-	n := 1
-	for _, h := range g.list() {
-		if h.State != spread.HostDown && h.Active && h.ID != g.settings.ID {
-			n++
+// crowd returns how many hosts share the fleet's allowances.
+func (g *gossip) crowd() crowd {
+	if c := g.shares.Load(); c != nil {
+		return *c
+	}
+	return crowd{others: 1}
+}
+
+// counted counts the live hosts, this one included.
+func (g *gossip) counted(list []spread.Host) (c crowd) {
+	for i := range list {
+		switch h := &list[i]; {
+		case h.State == spread.HostDown:
+		case h.Active:
+			c.busy++
+			c.self = c.self || h.ID == g.settings.ID
+		default:
+			c.others++
 		}
 	}
-	return n
+	return c
 }
 
 func (g *gossip) change(f func(*spread.Host)) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -33,8 +33,6 @@
 	// all hosts to confirm it; the server waits a second for the answer.
 	settleWait = 300 * time.Millisecond
 	settlePoll = 10 * time.Millisecond
-	// activeFor is how long a node counts as used after its last request.
-	activeFor = 10 * time.Second
 )
 
 // Listener is one HTTP interface of a node.
@@ -85,6 +83,8 @@
 	ctx        context.Context
 	servers    []*http.Server
 	notes      notes
+	// usage belongs to the trim actor.
+	usage usage
 }
 
 // Build makes the parts; it must be called once before Run.
@@ -112,13 +112,11 @@
 	n.door = &reqst.Door{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
-		Budget: n.Settings.Budget, Entries: n.gossip.active, Died: n.serverDied, Sure: n.gossip.connected,
+		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.crowd().share() }, Died: n.serverDied, Sure: n.gossip.connected,
 	}
 }
 
-// connLimit returns this node's share of a server's connections, at least one.
-// A quarter of the limit is left for nodes that are not known yet, and for the
-// connections of nodes that lost power, which the server still counts.
+// connLimit returns this node's share of a server's connections.
 func (n *Node) connLimit(id tier.ServerID) int {
 	t := n.Routes()
 	if t == nil {
@@ -128,7 +126,7 @@
 	if b == nil || b.Conns == 0 {
 		return mostConns
 	}
-	return max(1, b.Conns*3/4/n.gossip.active())
+	return n.gossip.crowd().conns(b.Conns)
 }
 
 // mostConns is the limit where the operator gives none.
@@ -262,11 +260,10 @@
 	}
 }
 
-// noteActive tells the fleet whether callers use this node: those that do
-// share the budgets among them.
+// noteActive tells the fleet whether callers use this node in earnest.
 func (n *Node) noteActive() {
-	active := n.door.Used(activeFor)
-	n.gossip.change(func(h *spread.Host) { h.Active = active })
+	busy := n.usage.note(n.Clock.Now(), n.door.Served())
+	n.gossip.change(func(h *spread.Host) { h.Active = busy })
 }
 
 // noteReady tells the fleet whether this node serves callers.
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -40,7 +40,8 @@
 	Disk    bool           `cbor:"10,keyasint,omitempty" json:"disk,omitempty"`
 	// Ready says that the host serves callers.
 	Ready bool `cbor:"11,keyasint,omitempty" json:"ready,omitempty"`
-	// Active says that callers use the host.
+	// Active says that callers use the host in earnest: such hosts share the
+	// larger part of the fleet's allowances.
 	Active bool `cbor:"12,keyasint,omitempty" json:"active,omitempty"`
 	// Cores is the host's share of processors, Mbits its link's bandwidth in Mbit/s; 0 is not known.
 	Cores float64 `cbor:"13,keyasint,omitempty" json:"cores,omitempty"`
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -104,8 +104,8 @@
 	Budget Allowance
 	// Died is told of each server that died under a request; it must not wait.
 	Died func(tier.Fingerprint, tier.ServerID)
-	// Entries returns the number of live nodes that share the budget.
-	Entries func() int
+	// Share returns this node's part of the fixed allowance of the fleet.
+	Share func() float64
 	// Sure reports whether the routing table is recent enough to say that a route
 	// does not exist; nil is always.
 	Sure func() bool
@@ -118,7 +118,7 @@
 	suspects Suspects
 	base     context.Context
 	open     atomic.Int64
-	last     atomic.Int64
+	served   atomic.Int64
 }
 
 // Allowance is the fleet's budget of extra sub-requests for each service:
@@ -138,11 +138,8 @@
 	d.Board.Start()
 }
 
-// Used reports whether a request came within the given time.
-func (d *Door) Used(within time.Duration) bool {
-	last := time.Duration(d.last.Load())
-	return last > 0 && d.Clock.Now()-last < within
-}
+// Served returns the number of requests since the start.
+func (d *Door) Served() int64 { return d.served.Load() }
 
 // Open returns the number of requests under way.
 func (d *Door) Open() int64 { return d.open.Load() }
@@ -150,7 +147,7 @@
 // fixed returns the node's share of the fixed allowance; one that started
 // within the window does not know what its former start spent.
 func (d *Door) fixed(now time.Duration) float64 {
-	share := d.Budget.Fixed / float64(max(1, d.Entries()))
+	share := d.Budget.Fixed * d.Share()
 	if now-d.started < d.Budget.Window {
 		share *= startShare
 	}
@@ -198,7 +195,7 @@
 func (d *Door) Forward(ctx context.Context, in *Inbound) Outbound {
 	d.open.Add(1)
 	defer d.open.Add(-1)
-	d.last.Store(int64(d.Clock.Now()))
+	d.served.Add(1)
 	table := d.Routes()
 	if table == nil {
 		return refusal(tier.ReasonNoControl, briefRetry)
--- a/internal/reqst/door_bench_test.go
+++ b/internal/reqst/door_bench_test.go
@@ -87,7 +87,7 @@
 		Clock: tier.NewClock(), Names: tier.DefaultHeaders(), Routes: func() *vers.Routes { return table }, Directory: dir,
 		Workers: &work.Pool{}, Stats: stats.NewRegistry(),
 		Board:  &pace.Board{Zone: "a"},
-		Budget: Allowance{Ratio: 0.2, Fixed: 60, Window: 10 * time.Second}, Entries: func() int { return 1 }, Died: func(tier.Fingerprint, tier.ServerID) {},
+		Budget: Allowance{Ratio: 0.2, Fixed: 60, Window: 10 * time.Second}, Share: func() float64 { return 1 }, Died: func(tier.Fingerprint, tier.ServerID) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(func() {
