--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 # Decision logic, disk, codecs, traces; with the race detector.
 unit:
 	scripts/known.sh $(GO) test -race $$($(GO) list ./... | grep -v -e internal/system -e internal/soak -e platform)
-	$(GO) test ./internal/proc/quorum ./internal/proc/hub ./internal/proc/spread ./internal/conn ./internal/reqst $(RAPID)
+	$(GO) test ./internal/proc/quorum ./internal/proc/roster ./internal/proc/spread ./internal/conn ./internal/reqst $(RAPID)
 
 # Real processes: kills, freezes, wiped disks, drains, faults of servers.
 system:
--- a/internal/cmdln/fleet.go
+++ b/internal/cmdln/fleet.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"sassafrasring.dev/sassafrasring/internal/node"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/proc/store"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/client"
@@ -51,7 +51,7 @@
 	list := &cobra.Command{
 		Use: "list", Short: "List the live nodes", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			var l []hub.Node
+			var l []roster.Node
 			if err := o.ask(http.MethodGet, "/v1/ops/nodes", &l); err != nil {
 				return err
 			}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -7,7 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 )
 
@@ -59,7 +59,7 @@
 	case <-n.drained:
 	}
 	// A node that has not heard of the drain may hand the address out for one lease more.
-	until := n.Clock.Now() + n.fleet.Config().Millis(vers.KeyEntriesTTL) + hub.NodeLease
+	until := n.Clock.Now() + n.fleet.Config().Millis(vers.KeyEntriesTTL) + roster.NodeLease
 	n.await(ctx, func() bool { return n.Clock.Now() >= until })
 	n.web.shutdown(ctx)
 	n.await(ctx, func() bool { return n.engine.Open() == 0 && n.owner.Busy() == 0 })
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -8,7 +8,7 @@
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -63,7 +63,7 @@
 		return
 	}
 	defer s.Cancel()
-	downs := make(chan hub.Down, downQueue)
+	downs := make(chan roster.Down, downQueue)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -75,10 +75,10 @@
 	<-ended
 }
 
-func receiveDowns(ctx context.Context, s *conn.Stream, out chan<- hub.Down) {
+func receiveDowns(ctx context.Context, s *conn.Stream, out chan<- roster.Down) {
 	defer close(out)
 	for {
-		var d hub.Down
+		var d roster.Down
 		if s.Recv(&d) != nil {
 			return
 		}
@@ -91,7 +91,7 @@
 }
 
 // converse sends heartbeats and news, and takes what comes.
-func (n *Node) converse(ctx context.Context, p conn.Peer, s *conn.Stream, downs <-chan hub.Down) {
+func (n *Node) converse(ctx context.Context, p conn.Peer, s *conn.Stream, downs <-chan roster.Down) {
 	if s.Send(n.firstUp()) != nil {
 		return
 	}
@@ -137,7 +137,7 @@
 	}
 }
 
-func (n *Node) notLeader(p conn.Peer, d hub.Down) {
+func (n *Node) notLeader(p conn.Peer, d roster.Down) {
 	if d.Leader != "" && d.Leader != p.Node {
 		n.leader.learn(d.Leader)
 		return
@@ -161,8 +161,8 @@
 	}
 }
 
-func (n *Node) record() hub.Node {
-	return hub.Node{
+func (n *Node) record() roster.Node {
+	return roster.Node{
 		ID: n.Settings.Node, Instance: n.instance, Zone: n.Settings.Zone, Peer: n.Settings.Peers, Address: n.Settings.Advertise,
 		Control: n.replica != nil, Entry: n.entry(), Draining: n.draining.Load(),
 	}
@@ -170,7 +170,7 @@
 
 // firstUp makes the message that begins a subscription. Its list of servers
 // is complete, and is made after the news were taken, which it holds too.
-func (n *Node) firstUp() hub.Up {
+func (n *Node) firstUp() roster.Up {
 	up := n.up()
 	rec := n.record()
 	up.Node = &rec
@@ -182,8 +182,8 @@
 }
 
 // up makes a heartbeat with the news since the last one.
-func (n *Node) up() hub.Up {
-	up := hub.Up{Have: n.have(), Config: n.fleet.Config().Version, Beat: n.fleet.NextBeat(), Leaving: n.leaving.Load()}
+func (n *Node) up() roster.Up {
+	up := roster.Up{Have: n.have(), Config: n.fleet.Config().Version, Beat: n.fleet.NextBeat(), Leaving: n.leaving.Load()}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	up.Servers, n.news = n.news, nil
@@ -198,7 +198,7 @@
 
 // have returns the newest membership that the node has taken over in full:
 // nothing of its own runs any more on servers that it no longer owns.
-func (n *Node) have() hub.Stamp {
+func (n *Node) have() roster.Stamp {
 	stamp := n.fleet.Table().Stamp
 	busy := n.owner.Leaving() > 0
 	n.mu.Lock()
@@ -211,7 +211,7 @@
 
 // takeAll takes over a message of the leader and those queued behind it, and
 // works out once what follows from them; false means that the stream has ended.
-func (n *Node) takeAll(d hub.Down, downs <-chan hub.Down) bool {
+func (n *Node) takeAll(d roster.Down, downs <-chan roster.Down) bool {
 	open, changed := true, n.take(d)
 	for more := true; more && open; {
 		select {
@@ -232,7 +232,7 @@
 }
 
 // take takes over one message and tells what changed in the membership.
-func (n *Node) take(d hub.Down) hub.Change {
+func (n *Node) take(d roster.Down) roster.Change {
 	if d.Config != nil && n.fleet.SetConfig(d.Config) {
 		event.ConfigInForce.Log(n.Log, nil, logrus.Fields{"version": d.Config.Version})
 		n.applyDrain()
@@ -245,7 +245,7 @@
 }
 
 // takeMembership takes over what a peer knows of a newer membership.
-func (n *Node) takeMembership(d hub.Down) {
+func (n *Node) takeMembership(d roster.Down) {
 	if c := n.fleet.Take(d); c.Any() {
 		n.tableChanged(c)
 	}
@@ -253,7 +253,7 @@
 
 // tableChanged hands a change of the membership to those who go by it. A
 // server instance that turns up after the node got ready is cold.
-func (n *Node) tableChanged(c hub.Change) {
+func (n *Node) tableChanged(c roster.Change) {
 	n.changing.Lock()
 	defer n.changing.Unlock()
 	t := n.fleet.Table()
@@ -273,19 +273,19 @@
 
 // serveWatch handles a node's subscription at a control host.
 func (n *Node) serveWatch(ctx context.Context, s *conn.Stream) {
-	var first hub.Up
+	var first roster.Up
 	if s.Recv(&first) != nil {
 		return
 	}
 	sub, ok := n.replica.Subscribe(s.Peer, first)
 	if !ok {
-		_ = s.Send(hub.Down{NotLeader: true, Leader: n.replica.Leader(ctx)})
+		_ = s.Send(roster.Down{NotLeader: true, Leader: n.replica.Leader(ctx)})
 		return
 	}
 	defer n.replica.Unsubscribe(sub)
 	go func() {
 		for {
-			var up hub.Up
+			var up roster.Up
 			if s.Recv(&up) != nil {
 				n.replica.Unsubscribe(sub)
 				return
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -8,7 +8,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/proc/store"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 )
@@ -16,7 +16,7 @@
 // wireTypes are all messages between nodes but those of the replicated log.
 func wireTypes() []any {
 	return []any{
-		&conn.Head{}, &conn.Request{}, &conn.Response{}, &conn.Write{}, &conn.Reply{}, &ctrl.Greeting{}, &hub.Up{}, &hub.Down{},
+		&conn.Head{}, &conn.Request{}, &conn.Response{}, &conn.Write{}, &conn.Reply{}, &ctrl.Greeting{}, &roster.Up{}, &roster.Down{},
 		&store.Command{}, &proposeReply{}, &adminRequest{}, &adminReply{}, &peerRequest{}, &peerReply{},
 	}
 }
@@ -30,9 +30,9 @@
 		store.Command{Claim: &store.Claim{ID: "c", Key: store.WriteKey{Key: "k"}}},
 		store.Command{Blame: &store.Blame{}},
 		store.Command{Change: &vers.Change{ID: "x", Edits: []vers.Edit{{}, {Set: &vers.Default{Key: vers.KeyHedgeBudget, Value: 1}}}}},
-		hub.Up{Digests: []uint64{1, 2}},
-		hub.Down{Nodes: []hub.Node{{ID: "n"}}},
-		peerReply{Table: &hub.Down{}},
+		roster.Up{Digests: []uint64{1, 2}},
+		roster.Down{Nodes: []roster.Node{{ID: "n"}}},
+		peerReply{Table: &roster.Down{}},
 	}
 	for _, s := range seeds {
 		b, err := frame.Marshal(s)
@@ -47,15 +47,15 @@
 			switch m := v.(type) {
 			case *store.Command:
 				store.New().Apply(*m)
-			case *hub.Down:
-				var view hub.View
+			case *roster.Down:
+				var view roster.View
 				view.Start()
 				view.Receive(*m)
-			case *hub.Up:
-				h := &hub.Hub{Epoch: 1}
+			case *roster.Up:
+				h := &roster.Hub{Epoch: 1}
 				h.Start(0)
 				h.Receive(0, "n", *m)
-				h.Tick(hub.NodeLease)
+				h.Tick(roster.NodeLease)
 			}
 		}
 	})
--- a/internal/node/lease.go
+++ b/internal/node/lease.go
@@ -7,8 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
 	"sassafrasring.dev/sassafrasring/internal/proc/lease"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -62,7 +62,7 @@
 	n.mu.Lock()
 	ended := n.leases.Expire(n.Clock.Now())
 	for _, a := range ended {
-		n.gone = append(n.gone, hub.Gone{Server: a.Server, Instance: a.Instance})
+		n.gone = append(n.gone, roster.Gone{Server: a.Server, Instance: a.Instance})
 	}
 	n.mu.Unlock()
 	for _, a := range ended {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,8 +17,8 @@
 	"sassafrasring.dev/sassafrasring/internal/proc/disk"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/fleet"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
 	"sassafrasring.dev/sassafrasring/internal/proc/lease"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/proc/score"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
@@ -67,10 +67,10 @@
 
 	mu      sync.Mutex
 	leases  lease.Table
-	news    []hub.Server
-	gone    []hub.Gone
+	news    []roster.Server
+	gone    []roster.Gone
 	changed bool
-	acked   hub.Stamp
+	acked   roster.Stamp
 
 	// changing is held while a change of the membership is handed on; taken before mu.
 	changing sync.Mutex
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -10,7 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/store"
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -32,7 +32,7 @@
 	Leased   bool               `json:"leased"`
 	Leader   tier.NodeID        `json:"leader"`
 	Config   tier.ConfigVersion `json:"config_version"`
-	Stamp    hub.Stamp          `json:"membership"`
+	Stamp    roster.Stamp       `json:"membership"`
 	Nodes    int                `json:"nodes"`
 	Servers  int                `json:"servers"`
 	Owned    int                `json:"owned"`
@@ -134,7 +134,7 @@
 
 func (n *Node) getNodes(c echo.Context) error {
 	t := n.fleet.Table()
-	list := make([]hub.Node, 0, len(t.Nodes))
+	list := make([]roster.Node, 0, len(t.Nodes))
 	for _, m := range t.Nodes {
 		list = append(list, m)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,7 +8,7 @@
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -100,7 +100,7 @@
 	if s.Recv(&req) != nil {
 		return
 	}
-	rep := peerReply{RenewedMs: tier.ToMillis(hub.NodeLease - n.fleet.LeaseLeft())}
+	rep := peerReply{RenewedMs: tier.ToMillis(roster.NodeLease - n.fleet.LeaseLeft())}
 	if c := n.fleet.Config(); c.Version > req.Config {
 		rep.Config = c
 	}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -4,7 +4,7 @@
 
 import (
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/proc/store"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -52,7 +52,7 @@
 // if that is newer than Have.
 type peerRequest struct {
 	Config  tier.ConfigVersion `cbor:"1,keyasint"`
-	Have    hub.Stamp          `cbor:"2,keyasint"`
+	Have    roster.Stamp       `cbor:"2,keyasint"`
 	Digests []uint64           `cbor:"3,keyasint"`
 }
 
@@ -61,5 +61,5 @@
 type peerReply struct {
 	RenewedMs tier.Millis  `cbor:"1,keyasint"`
 	Config    *vers.Config `cbor:"2,keyasint,omitempty"`
-	Table     *hub.Down    `cbor:"3,keyasint,omitempty"`
+	Table     *roster.Down `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -15,8 +15,8 @@
 	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/internal/proc/disk"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
 	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/proc/store"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -37,7 +37,7 @@
 
 // hubGrace is how long a new leader gathers membership before it publishes:
 // until every lease that a former leader can have granted is over.
-const hubGrace = hub.NodeLease + hub.DriftMargin + election
+const hubGrace = roster.NodeLease + roster.DriftMargin + election
 
 // Replica is one control replica. Set the exported fields, then call Run.
 type Replica struct {
@@ -91,7 +91,7 @@
 	swept     time.Duration
 	snapped   map[tier.ReplicaID]time.Duration
 
-	hub     *hub.Hub
+	hub     *roster.Hub
 	opening bool
 	subs    map[*Sub]bool
 	role    quorum.Role
--- a/internal/proc/ctrl/watch.go
+++ b/internal/proc/ctrl/watch.go
@@ -7,8 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
 	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -30,12 +30,12 @@
 	// Node is the subscriber.
 	Node tier.NodeID
 	// Out carries the messages to the node; it is closed when the subscription ends.
-	Out chan hub.Down
+	Out chan roster.Down
 
 	synced  bool
 	digests []uint64
-	sent    hub.Stamp
-	settled hub.Stamp
+	sent    roster.Stamp
+	settled roster.Stamp
 	config  tier.ConfigVersion
 	told    bool
 	poison  uint64
@@ -51,7 +51,7 @@
 }
 
 // put queues a message; a subscriber too slow to take it is cut off and syncs anew.
-func (s *Sub) put(d hub.Down) bool {
+func (s *Sub) put(d roster.Down) bool {
 	if s.ended {
 		return false
 	}
@@ -66,8 +66,8 @@
 
 // Subscribe adds a subscription with its first message; ok is false when
 // this replica is not a confirmed leader.
-func (r *Replica) Subscribe(node tier.NodeID, first hub.Up) (sub *Sub, ok bool) {
-	sub = &Sub{Node: node, Out: make(chan hub.Down, subQueue), digests: first.Digests, config: first.Config, told: first.Config > 0}
+func (r *Replica) Subscribe(node tier.NodeID, first roster.Up) (sub *Sub, ok bool) {
+	sub = &Sub{Node: node, Out: make(chan roster.Down, subQueue), digests: first.Digests, config: first.Config, told: first.Config > 0}
 	done := make(chan bool, 1)
 	add := func() {
 		if r.hub == nil {
@@ -92,7 +92,7 @@
 }
 
 // Receive passes a message of the subscriber to the hub.
-func (r *Replica) Receive(sub *Sub, up hub.Up) {
+func (r *Replica) Receive(sub *Sub, up roster.Up) {
 	select {
 	case r.calls <- func() { r.receive(sub, up) }:
 	case <-r.stopped:
@@ -112,7 +112,7 @@
 	sub.end()
 }
 
-func (r *Replica) receive(sub *Sub, up hub.Up) {
+func (r *Replica) receive(sub *Sub, up roster.Up) {
 	if r.hub == nil || sub.ended {
 		return
 	}
@@ -174,7 +174,7 @@
 		if d.Failed || r.core.Term() != term {
 			return
 		}
-		h := &hub.Hub{Epoch: term, Grace: hubGrace}
+		h := &roster.Hub{Epoch: term, Grace: hubGrace}
 		if term == firstLeaderTerm {
 			h.Grace = 0
 		}
@@ -199,7 +199,7 @@
 		d.Config, s.config, s.told, news = c, c.Version, true, true
 	}
 	if p := r.store.PoisonChanged() + 1; p != s.poison {
-		d.Poison, s.poison, news = &hub.Poison{Suspects: r.store.Suspects()}, p, true
+		d.Poison, s.poison, news = &roster.Poison{Suspects: r.store.Suspects()}, p, true
 	}
 	if !news && beat == 0 {
 		return
@@ -210,9 +210,9 @@
 	}
 }
 
-func (r *Replica) membership(s *Sub) (d hub.Down, news bool) {
+func (r *Replica) membership(s *Sub) (d roster.Down, news bool) {
 	if !r.hub.Open() {
-		return hub.Down{}, false
+		return roster.Down{}, false
 	}
 	ok := false
 	if s.synced {
--- a/internal/proc/fleet/fleet.go
+++ b/internal/proc/fleet/fleet.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -31,9 +31,9 @@
 // membership is worked out beside it and put in its place at once, so that no
 // request waits for that.
 type state struct {
-	table   *hub.Table
+	table   *roster.Table
 	owners  map[tier.ServerID]tier.NodeID
-	since   map[tier.ServerID]hub.Stamp
+	since   map[tier.ServerID]roster.Stamp
 	entries int
 }
 
@@ -50,9 +50,9 @@
 	Unsafe Unsafe
 
 	mu      sync.Mutex
-	view    hub.View
+	view    roster.View
 	state   atomic.Pointer[state]
-	settled atomic.Pointer[hub.Stamp]
+	settled atomic.Pointer[roster.Stamp]
 	renewed atomic.Int64
 	known   atomic.Bool
 	config  atomic.Pointer[vers.Config]
@@ -74,7 +74,7 @@
 const neverRenewed = math.MinInt64 / 2
 
 // Take takes over a message of the hub and tells what changed by it.
-func (f *Fleet) Take(d hub.Down) hub.Change {
+func (f *Fleet) Take(d roster.Down) roster.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.view.Table()
@@ -106,10 +106,10 @@
 }
 
 // touched returns the services of the servers that changed, before and after.
-func touched(c hub.Change, before, after *hub.Table) map[tier.Service]bool {
+func touched(c roster.Change, before, after *roster.Table) map[tier.Service]bool {
 	out := map[tier.Service]bool{}
 	for id := range c.Servers {
-		for _, t := range []*hub.Table{before, after} {
+		for _, t := range []*roster.Table{before, after} {
 			if s, ok := t.Servers[id]; ok {
 				out[s.Service] = true
 			}
@@ -166,7 +166,7 @@
 func (f *Fleet) Catalog() *vers.Catalog { return f.catalog.Load() }
 
 // Table returns the present membership; the caller must not change it.
-func (f *Fleet) Table() *hub.Table { return f.state.Load().table }
+func (f *Fleet) Table() *roster.Table { return f.state.Load().table }
 
 // Owned returns the servers that this node owns.
 func (f *Fleet) Owned() map[tier.ServerID]tier.Announcement {
@@ -206,7 +206,7 @@
 
 // LeaseLeft returns how long the node's own lease is still in force.
 func (f *Fleet) LeaseLeft() time.Duration {
-	return hub.LeaseLeft(f.Clock.Now(), time.Duration(f.renewed.Load()))
+	return roster.LeaseLeft(f.Clock.Now(), time.Duration(f.renewed.Load()))
 }
 
 // SetPeers notes what the peers made known to a node without a lease: whether
@@ -218,7 +218,7 @@
 
 // MaySend reports whether this node may send to a server now.
 func (f *Fleet) MaySend(id tier.ServerID) bool {
-	return hub.MaySend(f.state.Load().since, *f.settled.Load(), id) && (f.Leased() || f.alone.Load())
+	return roster.MaySend(f.state.Load().since, *f.settled.Load(), id) && (f.Leased() || f.alone.Load())
 }
 
 // Sendable returns the number of servers that this node may send to now.
--- a/internal/proc/fleet/fleet_test.go
+++ b/internal/proc/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -16,8 +16,8 @@
 
 func (c *clock) Now() time.Duration { return c.now }
 
-func server(id string, version tier.IndexVersion, shard, shards tier.Shard) hub.Server {
-	return hub.Server{
+func server(id string, version tier.IndexVersion, shard, shards tier.Shard) roster.Server {
+	return roster.Server{
 		Server: tier.ServerID(id), Instance: 1, Service: "fitter-app", Zone: "a", Slots: 1, Conns: 1,
 		Holdings: []tier.Holding{{Snapshot: tier.Snapshot{Version: version, Shards: shards}, Shard: shard}},
 	}
@@ -32,8 +32,8 @@
 
 func TestPinIsTheNewestCompleteSnapshot(t *testing.T) {
 	f, _ := newFleet()
-	down := hub.Down{Stamp: hub.Stamp{Epoch: 1, Seq: 1}}
-	send := func(servers ...hub.Server) {
+	down := roster.Down{Stamp: roster.Stamp{Epoch: 1, Seq: 1}}
+	send := func(servers ...roster.Server) {
 		down.Stamp.Seq++
 		down.Servers = servers
 		f.Take(down)
@@ -51,9 +51,9 @@
 func TestDrainingServerLeavesTheCatalogAtOnce(t *testing.T) {
 	f, _ := newFleet()
 	s := server("a", 1, 0, 1)
-	f.Take(hub.Down{Stamp: hub.Stamp{Epoch: 1, Seq: 1}, Servers: []hub.Server{s, server("b", 1, 0, 1)}})
+	f.Take(roster.Down{Stamp: roster.Stamp{Epoch: 1, Seq: 1}, Servers: []roster.Server{s, server("b", 1, 0, 1)}})
 	s.Draining = true
-	f.Take(hub.Down{Stamp: hub.Stamp{Epoch: 1, Seq: 2}, Servers: []hub.Server{s}})
+	f.Take(roster.Down{Stamp: roster.Stamp{Epoch: 1, Seq: 2}, Servers: []roster.Server{s}})
 	require.Len(t, f.Catalog().Pin("fitter-app").Shards[0], 1)
 	f.SetConfig(&vers.Config{Version: 1, Exceptions: []vers.Exception{{ID: "x", Key: vers.KeyDrain, Value: 1, Scope: vers.Scope{Kind: vers.ScopeServer, Name: "b"}}}})
 	require.Nil(t, f.Catalog().Pin("fitter-app"), "an operator's drain counts like the server's own")
@@ -72,9 +72,9 @@
 	require.Equal(t, tier.ReasonNoControl, f.Refusing(), "nobody is served before the configuration is confirmed")
 	f.SetConfig(&vers.Config{Version: 1})
 	beat := f.NextBeat()
-	f.Take(hub.Down{Stamp: hub.Stamp{Epoch: 1, Seq: 1}, Beat: beat, Nodes: []hub.Node{{ID: "n1", Entry: true}}})
+	f.Take(roster.Down{Stamp: roster.Stamp{Epoch: 1, Seq: 1}, Beat: beat, Nodes: []roster.Node{{ID: "n1", Entry: true}}})
 	require.Equal(t, tier.ReasonNone, f.Refusing())
-	c.now = hub.NodeLease
+	c.now = roster.NodeLease
 	require.Equal(t, tier.ReasonIsolated, f.Refusing(), "without a lease and without the peers nothing is taken on")
 	f.SetPeers(true, true)
 	require.Equal(t, tier.ReasonNone, f.Refusing(), "most peers are reached, so that callers can be served")
@@ -83,13 +83,13 @@
 
 func TestAddressesKeepOneOfAnotherZone(t *testing.T) {
 	f, _ := newFleet()
-	d := hub.Down{Stamp: hub.Stamp{Epoch: 1, Seq: 1}}
+	d := roster.Down{Stamp: roster.Stamp{Epoch: 1, Seq: 1}}
 	for i := range 6 {
 		zone := tier.Zone("a")
 		if i > 3 {
 			zone = "b"
 		}
-		d.Nodes = append(d.Nodes, hub.Node{ID: tier.NodeID(fmt.Sprint(i)), Zone: zone, Address: fmt.Sprintf("%s%d", zone, i), Entry: true, Draining: i == 0})
+		d.Nodes = append(d.Nodes, roster.Node{ID: tier.NodeID(fmt.Sprint(i)), Zone: zone, Address: fmt.Sprintf("%s%d", zone, i), Entry: true, Draining: i == 0})
 	}
 	f.Take(d)
 	for range 20 {
@@ -104,9 +104,9 @@
 	for _, n := range []int{400, 1600, 6400} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, _ := newFleet()
-			d := hub.Down{Stamp: hub.Stamp{Epoch: 1, Seq: 1}}
+			d := roster.Down{Stamp: roster.Stamp{Epoch: 1, Seq: 1}}
 			for i := range n * 1200 / 6400 {
-				d.Nodes = append(d.Nodes, hub.Node{ID: tier.NodeID(fmt.Sprint(i)), Zone: tier.Zone(fmt.Sprint(i % 19)), Entry: true})
+				d.Nodes = append(d.Nodes, roster.Node{ID: tier.NodeID(fmt.Sprint(i)), Zone: tier.Zone(fmt.Sprint(i % 19)), Entry: true})
 			}
 			for i := range n {
 				s := server(fmt.Sprint(i), 1, tier.Shard(i/3%200), 200)
@@ -117,7 +117,7 @@
 			one := d.Servers[0]
 			for i := 0; b.Loop(); i++ {
 				one.Draining = !one.Draining
-				f.Take(hub.Down{Stamp: hub.Stamp{Epoch: 1, Seq: hub.Seq(i + 2)}, Servers: []hub.Server{one}})
+				f.Take(roster.Down{Stamp: roster.Stamp{Epoch: 1, Seq: roster.Seq(i + 2)}, Servers: []roster.Server{one}})
 			}
 		})
 	}
--- a/internal/proc/hub/msg.go
+++ b/internal/proc/roster/msg.go
@@ -1,4 +1,4 @@
-package hub
+package roster
 
 import (
 	"sassafrasring.dev/sassafrasring/internal/proc/store"
--- a/internal/proc/hub/table.go
+++ b/internal/proc/roster/table.go
@@ -1,7 +1,7 @@
-// Package hub keeps the fleet's membership: nodes and servers with their
+// Package roster keeps the fleet's membership: nodes and servers with their
 // leases. The control leader runs a Hub; every node follows it with a View.
 // Both are pure: events and the monotonic time go in, messages come out.
-package hub
+package roster
 
 import (
 	"maps"
--- a/internal/proc/hub/view.go
+++ b/internal/proc/roster/view.go
@@ -1,4 +1,4 @@
-package hub
+package roster
 
 import (
 	"maps"
--- a/internal/trace/fleet.go
+++ b/internal/trace/fleet.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/fleet"
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -15,7 +15,7 @@
 type fleetMachine struct {
 	fleet *fleet.Fleet
 	now   time.Duration
-	seq   hub.Seq
+	seq   roster.Seq
 }
 
 // Now is the time of the step.
@@ -24,9 +24,9 @@
 type fleetEvent struct {
 	// Nodes and Servers are new records of the membership; with Beat they
 	// answer a heartbeat sent now.
-	Nodes   []hub.Node   `json:"nodes"`
-	Servers []hub.Server `json:"servers"`
-	Beat    bool         `json:"beat"`
+	Nodes   []roster.Node   `json:"nodes"`
+	Servers []roster.Server `json:"servers"`
+	Beat    bool            `json:"beat"`
 	// Config offers a configuration of that version.
 	Config tier.ConfigVersion `json:"config"`
 	// Peers says what the node's peers made known: "few" answered, "most"
@@ -71,13 +71,13 @@
 		return nil, err
 	}
 	m.now = at.Duration()
-	d := hub.Down{Nodes: e.Nodes, Servers: e.Servers}
+	d := roster.Down{Nodes: e.Nodes, Servers: e.Servers}
 	if e.Beat {
 		d.Beat = m.fleet.NextBeat()
 	}
 	if e.Beat || len(e.Nodes)+len(e.Servers) > 0 {
 		m.seq++
-		d.Stamp = hub.Stamp{Epoch: 1, Seq: m.seq}
+		d.Stamp = roster.Stamp{Epoch: 1, Seq: m.seq}
 		d.Settled = d.Stamp
 		m.fleet.Take(d)
 	}
--- a/internal/trace/owners.go
+++ b/internal/trace/owners.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"sort"
 
-	"sassafrasring.dev/sassafrasring/internal/proc/hub"
+	"sassafrasring.dev/sassafrasring/internal/proc/roster"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 // ownersMachine replays the membership hub with nodes that follow it.
 type ownersMachine struct {
-	hub   *hub.Hub
-	views map[tier.NodeID]*hub.View
+	hub   *roster.Hub
+	views map[tier.NodeID]*roster.View
 }
 
 type ownersSetup struct {
@@ -44,7 +44,7 @@
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return nil, err
 	}
-	m := &ownersMachine{hub: &hub.Hub{Epoch: 1}, views: map[tier.NodeID]*hub.View{}}
+	m := &ownersMachine{hub: &roster.Hub{Epoch: 1}, views: map[tier.NodeID]*roster.View{}}
 	switch without {
 	case "":
 	case "settling":
@@ -56,21 +56,21 @@
 	m.hub.Tick(0)
 	for _, id := range s.Nodes {
 		m.record(0, id, false)
-		v := &hub.View{Self: id}
+		v := &roster.View{Self: id}
 		v.Start()
 		m.views[id] = v
 	}
-	var list []hub.Server
+	var list []roster.Server
 	for _, id := range s.Servers {
-		list = append(list, hub.Server{Server: id, Instance: 1, Service: "fitter-app", Zone: "a", LeaseMs: 2000})
+		list = append(list, roster.Server{Server: id, Instance: 1, Service: "fitter-app", Zone: "a", LeaseMs: 2000})
 	}
-	m.hub.Receive(0, s.Nodes[0], hub.Up{Servers: list})
+	m.hub.Receive(0, s.Nodes[0], roster.Up{Servers: list})
 	return m, nil
 }
 
 func (m *ownersMachine) record(at tier.Millis, id tier.NodeID, draining bool) {
-	n := hub.Node{ID: id, Instance: 1, Zone: "a", Entry: true, Draining: draining}
-	up := hub.Up{Node: &n}
+	n := roster.Node{ID: id, Instance: 1, Zone: "a", Entry: true, Draining: draining}
+	up := roster.Up{Node: &n}
 	if v := m.views[id]; v != nil {
 		up.Have = v.Table().Stamp
 	}
@@ -90,11 +90,11 @@
 		m.record(at, e.Undrain, false)
 	case e.Gone != "":
 		for id := range m.views {
-			m.hub.Receive(now, id, hub.Up{Have: m.views[id].Table().Stamp, Gone: []hub.Gone{{Server: e.Gone, Instance: 1}}})
+			m.hub.Receive(now, id, roster.Up{Have: m.views[id].Table().Stamp, Gone: []roster.Gone{{Server: e.Gone, Instance: 1}}})
 		}
 	}
 	for _, id := range e.Acknowledge {
-		m.hub.Receive(now, id, hub.Up{Have: m.views[id].Table().Stamp})
+		m.hub.Receive(now, id, roster.Up{Have: m.views[id].Table().Stamp})
 	}
 	m.hub.Tick(now)
 	for _, id := range e.Deliver {
