--- a/internal/vers/config.go
+++ b/internal/vers/config.go
@@ -1,6 +1,8 @@
 package vers
 
 import (
+	"encoding/json"
+
 	"github.com/pkg/errors"
 
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -39,6 +41,15 @@
 	Exceptions []Exception        `json:"exceptions" cbor:"3,keyasint"`
 }
 
+// MarshalJSON writes empty lists as [].
+func (c *Config) MarshalJSON() ([]byte, error) {
+	type plain Config
+	p := plain(*c)
+	p.Defaults, p.Exceptions = append([]Default{}, p.Defaults...), append([]Exception{}, p.Exceptions...)
+	b, err := json.Marshal(p)
+	return b, errors.Wrap(err, "encode configuration")
+}
+
 // Get returns the value of k: an exception for the first matching scope, else
 // the fleet's default, else the built-in default.
 func (c *Config) Get(k Key, scopes ...Scope) int64 {
--- a/internal/vers/config_test.go
+++ b/internal/vers/config_test.go
@@ -1,6 +1,7 @@
 package vers
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -67,3 +68,12 @@
 	_, err = base.Apply(Change{})
 	require.ErrorContains(t, err, "no edits")
 }
+
+func TestEmptyListsAreWrittenAsSuch(t *testing.T) {
+	b, err := json.Marshal(&Config{Version: 3})
+	require.NoError(t, err)
+	require.JSONEq(t, `{"version": 3, "defaults": [], "exceptions": []}`, string(b))
+	var back Config
+	require.NoError(t, json.Unmarshal(b, &back))
+	require.Equal(t, tier.ConfigVersion(3), back.Version)
+}
