Hosts that start together learn of the servers at once

A host compared its records once in 150 ms with anybody, and had spent that on one that knew nothing either; and hosts that learn news all the time put off its probes. Change: the 150 ms hold for each other host by itself; for 3 s after its start a host introduces itself with every probe, which is answered at once.

--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -70,11 +70,14 @@
 		s.send(p.From, r)
 		return
 	}
-	if p.Digest == nil || *p.Digest == mine || (p.Reply != 0 && now-s.compared < compareEvery) {
+	if p.Digest == nil || *p.Digest == mine {
 		return
 	}
 	if p.Reply != 0 {
-		s.compared = now
+		if last, ok := s.compared[p.From]; ok && now-last < compareEvery {
+			return
+		}
+		s.compared[p.From] = now
 	}
 	pkts := s.differing(p.Digest)
 	if len(pkts) == 0 {
@@ -271,12 +274,16 @@
 		}
 		pr.sent = now
 	}
-	s.ask(id)
+	s.ask(now, id)
 }
 
-func (s *State) ask(id tier.NodeID) {
+func (s *State) ask(now time.Duration, id tier.NodeID) {
 	s.number++
-	s.send(id, Packet{Probe: s.number, Sum: s.digest.sum()})
+	p := Packet{Probe: s.number, Sum: s.digest.sum()}
+	if now-s.started < youngFor {
+		p.Hosts = []Host{s.self}
+	}
+	s.send(id, p)
 }
 
 // insist sends open probes of watched hosts again.
@@ -290,7 +297,7 @@
 	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
 	for _, id := range due {
 		s.probes[id].sent = now
-		s.ask(id)
+		s.ask(now, id)
 	}
 }
 
@@ -326,6 +333,7 @@
 		if e.rec.State == HostDown && now-e.downAt > lostHost && id != s.self.ID {
 			*s.digest.host(id) -= e.sum
 			delete(s.hosts, id)
+			delete(s.compared, id)
 		}
 	}
 	if len(s.news) > 0 {
--- a/internal/proc/spread/spread_test.go
+++ b/internal/proc/spread/spread_test.go
@@ -366,6 +366,36 @@
 	}
 }
 
+// TestHostsThatStartTogetherLearnOfTheServersAtOnce restarts all hosts after a
+// loss of power; two of eleven remember the servers. The others ask hosts that
+// know nothing yet as well, and news come all the time.
+func TestHostsThatStartTogetherLearnOfTheServersAtOnce(t *testing.T) {
+	const servers = 60
+	for seed := range uint64(10) {
+		w := newNet(seed, 11)
+		w.run(2 * time.Second)
+		for i := range servers {
+			w.announce(w.order[i%11], beat(tier.ServerID(fmt.Sprint("i-", i)), 1, ServerReady))
+		}
+		w.run(time.Second)
+		hosts, list := w.states[nodeID(0)].Hosts(), w.states[nodeID(0)].Servers()
+		w.wire = nil
+		seeds := []tier.NodeID{nodeID(0), nodeID(1), nodeID(2)}
+		for i := range 11 {
+			w.add(nodeID(i), seeds)
+		}
+		w.states[nodeID(0)].Restore(w.now, hosts, list)
+		w.states[nodeID(2)].Restore(w.now, hosts, list)
+		for i := range 15 {
+			w.announce(nodeID(i%11), beat(tier.ServerID(fmt.Sprint("new-", i)), 1, ServerReady))
+			w.run(10 * time.Millisecond)
+		}
+		for _, id := range w.order {
+			require.GreaterOrEqual(t, len(w.states[id].Servers()), servers, "seed %d: %s", seed, id)
+		}
+	}
+}
+
 // TestRestoredMembershipServesUntilItIsRenewed restarts all hosts at once; one
 // of them remembers, and the servers announce themselves again, or not.
 func TestRestoredMembershipServesUntilItIsRenewed(t *testing.T) {
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -35,9 +35,12 @@
 	// that where something changes all the time.
 	calmAfter      = 200 * time.Millisecond
 	comparedAnyhow = 900 * time.Millisecond
-	// compareEvery is the least time between two comparisons that a host begins:
-	// the records of the former one must have come.
+	// compareEvery is the least time between two comparisons that a host begins
+	// with the same other one: the records of the former one must have come.
 	compareEvery = 150 * time.Millisecond
+	// youngFor is how long after its start a host introduces itself with every
+	// probe, which is then looked into at once: it may know little yet.
+	youngFor = 3 * time.Second
 	// watched is the number of successors on the ring that a host probes.
 	watched = 2
 	// tombstone is how long a record of a server that is gone is kept, above
@@ -102,10 +105,11 @@
 	answered bool
 	heard    time.Duration
 	// changed is when a record changed last, told when this host last sent its
-	// digest, compared when it last sent its records by another's.
+	// digest, compared when it last sent its records by that of another host.
+	started  time.Duration
 	changed  time.Duration
 	told     time.Duration
-	compared time.Duration
+	compared map[tier.NodeID]time.Duration
 	round    int
 	news     []tier.ServerID
 	hostNews []tier.NodeID
@@ -121,7 +125,7 @@
 	s.pushes = map[uint64]*push{}
 	s.probes = map[tier.NodeID]*probe{}
 	s.greeted, s.ticked = now-greetEvery, now
-	s.told, s.compared = now-comparedAnyhow, now-compareEvery
+	s.started, s.told, s.compared = now, now-comparedAnyhow, map[tier.NodeID]time.Duration{}
 	s.putHost(now, self)
 	s.hostNews = append(s.hostNews, self.ID)
 }
