--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -62,6 +62,8 @@
 	Decode func(doc []byte) (*vers.Routes, error)
 	// Certs are the certificates between nodes; nil has one made at start.
 	Certs *conn.Certs
+	// LinesDropped returns how many log lines the output did not take; nil is not counted.
+	LinesDropped func() int64
 	// Listeners are the HTTP interfaces; set between Build and Run.
 	Listeners []Listener
 
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -125,6 +125,9 @@
 	set := n.Stats.Gauge
 	set("requests_open", "", float64(n.door.Open()))
 	set("routes_version", "", float64(n.routesVersion()))
+	if n.LinesDropped != nil {
+		set("log_lines_unwritten", "", float64(n.LinesDropped()))
+	}
 	for service, left := range n.door.Budgets() {
 		set("budget_left", string(service), left)
 	}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -58,6 +58,7 @@
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	n := &Node{
 		Settings: s, Log: log, Clock: tier.NewClock(), Leases: BootClock{}, Stats: stats.NewRegistry(), Names: p.Names, Decode: p.Decode, Certs: p.Certs,
+		LinesDropped: lines.Dropped,
 	}
 	n.Build()
 	n.Listeners = p.Listeners(n)
