--- /dev/null
+++ b/internal/reqst/asking.go
@@ -0,0 +1,126 @@
+package reqst
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/pace"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// asking is one sub-request on its way to a server.
+type asking struct {
+	door     *Door
+	out      *conn.Outgoing
+	kind     pace.Kind
+	route    string
+	print    tier.Fingerprint
+	action   Action
+	careful  bool
+	sent     time.Duration
+	deadline time.Duration
+}
+
+// run sends the sub-request and tells what became of it.
+func (a *asking) run(ctx context.Context) *directReply {
+	d := a.door
+	rep := &directReply{Reply: conn.Reply{Attempt: a.action.Attempt, Shard: a.action.Shard, Server: a.action.Server, Fate: conn.FateFailed}}
+	if direct := d.Directory.Direct(a.action.Server); direct != nil {
+		var err error
+		rep.answer, err = direct.Do(ctx, a.out, a.deadline-a.sent, a.careful)
+		d.judge(rep, err)
+		if rep.Reason == tier.ReasonLost && rep.Fate == conn.FateFailed {
+			d.Workers.Go(func() { d.findOut(direct, a.print, a.action.Server) })
+		}
+	} else {
+		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonNoOwner
+	}
+	a.observe(rep)
+	return rep
+}
+
+// findOut blames a request if the server that broke its connection is gone.
+func (d *Door) findOut(direct *conn.Direct, f tier.Fingerprint, id tier.ServerID) {
+	if direct.Gone(d.base) && d.Blame(f, id) {
+		d.Died(f, id)
+	}
+}
+
+// observe tells the board what the reply says of its server.
+func (a *asking) observe(rep *directReply) {
+	d, id := a.door, a.action.Server
+	now := d.Clock.Now()
+	took := now - a.sent
+	ratio := float64(took) / float64(a.kind.Base)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.Board
+	b.Ended(id)
+	switch {
+	case rep.Fate == conn.FateDone:
+		b.Answered(now, id, ratio)
+		d.suspects.Clear(a.print)
+		b.Reported(now, id, parseLoad(rep.answer.Header.Get(d.Names.Load)))
+		if !a.action.Hedge {
+			d.median(a.route).Add(took)
+		}
+	case rep.Reason == tier.ReasonShed || rep.Reason == tier.ReasonRefused:
+		b.Shed(now, id)
+	case rep.Reason == tier.ReasonServerError || rep.Reason == tier.ReasonTruncated:
+		b.Erred(now, id)
+	case rep.Reason == tier.ReasonCanceled:
+		b.Slower(now, id, ratio)
+	default:
+		b.Failed(now, id)
+	}
+}
+
+// parseLoad reads a server's load: running, waiting, slots.
+func parseLoad(s string) pace.Load {
+	var v [3]int
+	for i := range v {
+		field, rest, _ := strings.Cut(s, ",")
+		n, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil {
+			return pace.Load{}
+		}
+		v[i], s = n, rest
+	}
+	return pace.Load{Running: v[0], Waiting: v[1], Slots: v[2]}
+}
+
+// unsigned reports whether an answer lacks the signature that the platform asks for.
+func unsigned(h http.Header, name string) bool { return name != "" && h.Get(name) == "" }
+
+// judge tells what an answer or its absence means.
+func (d *Door) judge(rep *directReply, err error) {
+	h := rep.answer.Header
+	switch s := rep.answer.Status; {
+	case errors.Is(err, conn.ErrNotSent):
+		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonLost
+	case errors.Is(err, conn.ErrRefused):
+		rep.Reason = tier.ReasonRefused
+	case errors.Is(err, context.Canceled):
+		rep.Reason = tier.ReasonCanceled
+	case errors.Is(err, conn.ErrMalformed):
+		rep.Reason = tier.ReasonTruncated
+	case err != nil:
+		rep.Reason = tier.ReasonLost
+	case s == http.StatusMisdirectedRequest:
+		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonNoOwner
+	case h.Get(d.Names.NotRun) != "":
+		rep.Fate, rep.Reason = conn.FateNotRun, tier.ReasonShed
+	case s >= http.StatusInternalServerError:
+		rep.Reason = tier.ReasonServerError
+	case s < http.StatusMultipleChoices && (unsigned(h, d.Names.Signature) || h.Get("Content-Encoding") != ""):
+		rep.Reason = tier.ReasonTruncated
+	default:
+		rep.Fate, rep.Data, rep.Mark = conn.FateDone, rep.answer.Body, h.Get(d.Names.Signature)
+	}
+}
