--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -85,7 +85,7 @@
 	switch a.status {
 	case http.StatusOK:
 		n, err := shardsOf(id, a.body)
-		missing, e := strconv.Atoi(a.header.Get("X-Missing-Parts"))
+		missing, e := strconv.Atoi(a.header.Get(tier.DefaultHeaders().Missing))
 		if err != nil || e != nil || n+missing != shards || n < leastShards {
 			f.judge.fail("answer to %s: %d shards, %d said missing: %v", id, n, missing, err)
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 // Shape of a soak.
@@ -153,7 +155,7 @@
 func (f *Fleet) whole(client *http.Client) bool {
 	for _, h := range f.hosts {
 		a := f.ask(f.ctx, client, h, http.MethodGet, "/search/", fmt.Sprintf("whole-%d-%d", f.Seed, time.Now().UnixNano()), nil)
-		if a.status != http.StatusOK || a.header.Get("X-Missing-Parts") != "0" {
+		if a.status != http.StatusOK || a.header.Get(tier.DefaultHeaders().Missing) != "0" {
 			return false
 		}
 	}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -178,7 +178,7 @@
 		return
 	}
 	id := r.Header.Get(tier.HeaderRequestID)
-	if want := r.Header.Get("X-Expect-Server"); want != "" && want != s.id {
+	if want := r.Header.Get(tier.DefaultHeaders().Expect); want != "" && want != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
