--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -173,7 +174,7 @@
 		}
 	}
 	for id, e := range s.hosts {
-		if e.rec.State == HostDown && id != s.self.ID && !contains(out, id) {
+		if e.rec.State == HostDown && id != s.self.ID && !slices.Contains(out, id) {
 			out = append(out, id)
 		}
 	}
@@ -223,7 +224,7 @@
 		s.probe(now, others[s.Rand.IntN(len(others))], false)
 	}
 	for id := range s.probes {
-		if !contains(ring[:min(watched, len(ring))], id) {
+		if !slices.Contains(ring[:min(watched, len(ring))], id) {
 			delete(s.probes, id)
 		}
 	}
@@ -239,15 +240,6 @@
 	return out
 }
 
-func contains(list []tier.NodeID, id tier.NodeID) bool {
-	for _, o := range list {
-		if o == id {
-			return true
-		}
-	}
-	return false
-}
-
 // ring returns the other live hosts in the order of a hash ring, from this host on.
 func (s *State) ring() []tier.NodeID {
 	list := s.peers()
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
@@ -224,22 +225,13 @@
 	}
 	p.left = p.left[:0]
 	for _, c := range all {
-		if !contains(tried, c.Server) {
+		if !slices.Contains(tried, c.Server) {
 			p.left = append(p.left, c)
 		}
 	}
 	return p.left
 }
 
-func contains(list []tier.ServerID, id tier.ServerID) bool {
-	for _, s := range list {
-		if s == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Reply takes a sub-query's reply. Late, repeated and mismatched ones change nothing.
 func (p *Plan) Reply(now time.Duration, r conn.Reply) []Action {
 	if p.finished || r.Attempt < 0 || r.Attempt >= len(p.attempts) {
