Answers without an ID: a late copy of a refusal is no answer to the next request

Cause: an answer without an ID counted as a refusal of whichever request read it. A server that refused one request so, ran the next one on the same connection and then sent a copy of the refusal made us say 'not run' of a request that had run (seen with a scripted server; a write could then be sent again). The first nodes' engine believed X-Not-Run, 409 and errors without looking at the ID at all. Change: a connection that carried an answer without an ID is not used again; on a connection that had carried another request such an answer is malformed (the request may have run). The owners' protocol checks the ID first and closes the connection of a foreign answer. The routed stand-in names the request in its 421 as servers do.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -154,7 +154,8 @@
 }
 
 // readMatching reads the answer to o. Late answers to other requests before it are skipped, and a
-// connection that carried one is not reused.
+// connection that carried one is not reused. Neither is one that carried an answer without an ID: a
+// second copy of it could not be told from the answer to the next request.
 func (c *directConn) readMatching(o *Outgoing) (resp Answer, reuse bool, err error) {
 	clean := true
 	for range maxAnswersRead {
@@ -162,23 +163,47 @@
 		if err != nil {
 			return Answer{}, false, err
 		}
-		if o.answeredBy(&resp) {
+		switch o.match(&resp) {
+		case matchOwn:
 			return resp, reuse && clean && c.r.Buffered() == 0, nil
+		case matchAnonymous:
+			if o.ID != "" && !c.firstExchange {
+				return Answer{}, false, errors.Wrap(ErrMalformed, "answer without an ID on a connection that had carried another request")
+			}
+			return resp, false, nil
+		case matchOther:
+			clean = false
 		}
-		clean = false
 	}
 	return Answer{}, false, errors.Wrap(ErrMalformed, "received only answers to other requests")
 }
 
-// answeredBy reports whether an answer belongs to the request. An answer without an ID is a refusal
-// that the server sent before it examined the request. Where servers sign their answers, a signed
-// answer without an ID belongs to no request.
-func (o *Outgoing) answeredBy(a *Answer) bool {
-	id := a.Header.Get(o.Names.RequestID)
-	if id != "" {
-		return id == o.ID
+// match tells whose answer an answer is.
+type match uint8
+
+// Values of match.
+const (
+	// matchOther is an answer to another request, or to none.
+	matchOther match = iota
+	// matchOwn is an answer that names the request.
+	matchOwn
+	// matchAnonymous is an answer without an ID: a refusal that the server sent before it examined a
+	// request, or an answer to a request that had no ID.
+	matchAnonymous
+)
+
+// match compares an answer with the request. Where servers sign their answers, a signed answer
+// without an ID belongs to no request.
+func (o *Outgoing) match(a *Answer) match {
+	switch id := a.Header.Get(o.Names.RequestID); {
+	case id != "" && id == o.ID:
+		return matchOwn
+	case id != "":
+		return matchOther
+	case o.Names.Signature != "" && a.Header.Get(o.Names.Signature) != "":
+		return matchOther
 	}
-	return o.Names.Signature == "" || a.Header.Get(o.Names.Signature) == ""
+	return matchAnonymous
 }
 
 // readFinal reads one final answer and skips interim (1xx) answers.
--- a/internal/conn/search.go
+++ b/internal/conn/search.go
@@ -79,6 +79,10 @@
 func applySearchAnswer(sent http.Header, snap tier.Snapshot, a answer, rep *Reply) {
 	same := func(key string) bool { return a.header.Get(key) == sent.Get(key) }
 	switch {
+	case !same(tier.HeaderRequestID):
+		// A late answer to another request says nothing about this one, not even that it did not run.
+		rep.fail(tier.ReasonTruncated)
+		return
 	case a.status == http.StatusConflict:
 		rep.Result, rep.Reason = ResultNotRun, tier.ReasonVersion
 		return
@@ -89,7 +93,7 @@
 		rep.fail(tier.ReasonServerError)
 		return
 	}
-	if !same(tier.HeaderRequestID) || !same(tier.HeaderShard) {
+	if !same(tier.HeaderShard) {
 		rep.fail(tier.ReasonTruncated)
 		return
 	}
--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 const (
@@ -115,7 +117,7 @@
 }
 
 // exchange writes a request and reads its answer; reuse means that the connection may carry another
-// request.
+// request. A connection that carried an answer to another request may not: the own answer may follow.
 func (c *persistConn) exchange(req *http.Request) (a answer, reuse bool, err error) {
 	if err := req.Write(c.w); err != nil {
 		return answer{}, false, err
@@ -133,7 +135,8 @@
 	if err != nil {
 		return answer{status: resp.StatusCode}, false, err
 	}
-	return answer{resp.StatusCode, resp.Header, b}, !resp.Close, nil
+	own := resp.Header.Get(tier.HeaderRequestID) == req.Header.Get(tier.HeaderRequestID)
+	return answer{resp.StatusCode, resp.Header, b}, own && !resp.Close, nil
 }
 
 // readFinal reads the final answer and skips interim (1xx) answers.
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -309,6 +309,7 @@
 // method reads this server's shard.
 func (s *server) routed(w http.ResponseWriter, r *http.Request) {
 	if want := r.Header.Get(tier.DefaultHeaders().Expect); want != "" && want != string(s.id) {
+		w.Header().Set(tier.HeaderRequestID, r.Header.Get(tier.HeaderRequestID))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
