Limits on what servers and callers may send, and a budget for the bodies that a process holds

Cause: nothing bounded the head of an answer, its interim answers or the overhead of its chunks, and a body of a stated length was allocated before its bytes came. On a header line without end held 1.4 GB in 2 s, header lines 0.4 GB; chunks without end went on to the deadline, as closing a response's body reads the rest of it. The edge node of the new system test answered 503 to requests that had nothing to do with these servers. Change: one reader of answers for both engines, with limits for head, interim answers, chunk overhead and body (a part of a search by its route); a budget for all bodies of a process beyond 4 KiB each, given back on every path; reasons truncated (the request may have run, the server counts as failing) and no_room. Callers' bodies share the budget and have a time limit; so have announcements and tables. pkg/client and the command line bound headers and bodies of responses. An answer to HEAD that states a length is not waited for any more. FuzzAnswer: 275,000 inputs in 20 s, nothing found.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 fuzz:
 	$(GO) test ./internal/proc/disk -fuzz FuzzScan -fuzztime 20s -fuzzminimizetime 10x
 	$(GO) test ./internal/proc/store -fuzz FuzzLoad -fuzztime 20s -fuzzminimizetime 10x
+	$(GO) test ./internal/conn -fuzz FuzzAnswer -fuzztime 20s -fuzzminimizetime 10x
 	$(GO) test ./internal/frame -fuzz FuzzRead -fuzztime 20s -fuzzminimizetime 10x
 	$(GO) test ./internal/proc/quorum -fuzz FuzzStep -fuzztime 20s -fuzzminimizetime 10x
 	$(GO) test ./internal/node -fuzz FuzzWire -fuzztime 20s -fuzzminimizetime 10x
--- a/internal/cmdln/root.go
+++ b/internal/cmdln/root.go
@@ -114,7 +114,7 @@
 
 // client creates a client for the configured entries; it uses HTTPS if --ca is set.
 func (o *options) client() (*client.Client, error) {
-	h := &http.Client{Timeout: o.timeout}
+	h := &http.Client{Timeout: o.timeout, Transport: client.Transport()}
 	c := &client.Client{Entries: strings.Split(o.entries, ","), Name: o.account, Secret: o.secret, HTTP: h}
 	if o.certs.CA == "" {
 		if o.certs.Cert != "" || o.certs.Key != "" {
@@ -126,7 +126,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "--ca, --cert, --key")
 	}
-	c.Scheme, h.Transport = "https", &http.Transport{TLSClientConfig: conf}
+	secure := client.Transport()
+	secure.TLSClientConfig = conf
+	c.Scheme, h.Transport = "https", secure
 	return c, nil
 }
 
--- a/internal/conn/copies_test.go
+++ b/internal/conn/copies_test.go
@@ -101,7 +101,7 @@
 		require.NoError(t, err, c.name)
 		close(sent)
 		<-strayed
-		a, reuse, err := dc.exchange(outgoing("second"), "s1", time.Second)
+		a, reuse, err := dc.exchange(outgoing("second"), d.limits(), "s1", time.Second)
 		require.Equal(t, c.ok, err == nil, "%s: %v", c.name, err)
 		if c.ok {
 			require.Equal(t, "of second", string(a.Body), c.name)
--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -36,6 +36,8 @@
 	Address string
 	// Server is the ID that the server must have.
 	Server tier.ServerID
+	// Limits bounds answers; nil means DefaultAnswerLimits.
+	Limits *AnswerLimits
 	// OnDial, if not nil, is called after each new connection is established.
 	OnDial func()
 
@@ -127,7 +129,7 @@
 		return Answer{}, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
-	resp, reuse, err := c.exchange(o, d.Server, remaining)
+	resp, reuse, err := c.exchange(o, d.limits(), d.Server, remaining)
 	if stop() && err == nil && reuse {
 		d.idle.push(c)
 		return resp, nil
@@ -135,3 +137,12 @@
 	_ = c.conn.Close()
 	return resp, ctxError(ctx, err)
 }
+
+var defaultAnswerLimits = DefaultAnswerLimits()
+
+func (d *Direct) limits() *AnswerLimits {
+	if d.Limits == nil {
+		return &defaultAnswerLimits
+	}
+	return d.Limits
+}
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -1,8 +1,6 @@
 package conn
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -42,7 +40,7 @@
 type directConn struct {
 	conn      *net.TCPConn
 	raw       syscall.RawConn
-	r         *bufio.Reader
+	answers   *answerReader
 	idleUntil time.Time
 	// firstExchange is set until the first exchange has ended; sentAt is when the last pending
 	// request was written.
@@ -61,7 +59,7 @@
 		return nil, err
 	}
 	d := &directConn{conn: c, raw: raw, firstExchange: true}
-	d.r = bufio.NewReaderSize(d, directBufferBytes)
+	d.answers = newAnswerReader(d, directBufferBytes)
 	return d, nil
 }
 
@@ -116,7 +114,7 @@
 	}
 }
 
-func (c *directConn) exchange(o *Outgoing, server tier.ServerID, remaining time.Duration) (resp Answer, reuse bool, err error) {
+func (c *directConn) exchange(o *Outgoing, l *AnswerLimits, server tier.ServerID, remaining time.Duration) (resp Answer, reuse bool, err error) {
 	b := make([]byte, 0, len(o.Head)+len(o.Body)+128)
 	b = append(b, o.Head...)
 	b = appendField(b, o.Names.Deadline, strconv.FormatInt(int64(tier.ToMillis(max(remaining, time.Millisecond))), 10))
@@ -135,7 +133,7 @@
 			written <- err
 		}()
 	}
-	resp, reuse, err = c.readMatching(o)
+	resp, reuse, err = c.readMatching(o, l)
 	if c.firstExchange && errors.Is(err, syscall.ECONNRESET) && time.Since(c.sentAt) < earlyResetWindow {
 		err = errors.Wrap(ErrRefused, err.Error())
 	}
@@ -156,22 +154,24 @@
 // readMatching reads the answer to o. Late answers to other requests before it are skipped, and a
 // connection that carried one is not reused. Neither is one that carried an answer without an ID: a
 // second copy of it could not be told from the answer to the next request.
-func (c *directConn) readMatching(o *Outgoing) (resp Answer, reuse bool, err error) {
+func (c *directConn) readMatching(o *Outgoing, l *AnswerLimits) (resp Answer, reuse bool, err error) {
 	clean := true
 	for range maxAnswersRead {
-		resp, reuse, err = c.readFinal(o.Method)
+		resp, reuse, err = c.readFinal(o, l)
 		if err != nil {
 			return Answer{}, false, err
 		}
 		switch o.match(&resp) {
 		case matchOwn:
-			return resp, reuse && clean && c.r.Buffered() == 0, nil
+			return resp, reuse && clean && c.answers.idle(), nil
 		case matchAnonymous:
 			if o.ID != "" && !c.firstExchange {
+				resp.Reservation.Release()
 				return Answer{}, false, errors.Wrap(ErrMalformed, "answer without an ID on a connection that had carried another request")
 			}
 			return resp, false, nil
 		case matchOther:
+			resp.Reservation.Release()
 			clean = false
 		}
 	}
@@ -206,51 +206,14 @@
 	return matchAnonymous
 }
 
-// readFinal reads one final answer and skips interim (1xx) answers.
-func (c *directConn) readFinal(method string) (resp Answer, reuse bool, err error) {
-	req := http.Request{Method: method}
-	for {
-		r, err := http.ReadResponse(c.r, &req)
-		if err != nil {
-			return Answer{}, false, asMalformed(err)
-		}
-		if r.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := readAll(r)
-		_ = r.Body.Close()
-		if err != nil {
-			return Answer{}, false, err
-		}
-		c.setIdleLimit(r.Header)
-		return Answer{Status: r.StatusCode, Header: r.Header, Body: body}, !r.Close, nil
-	}
-}
-
-// asMalformed wraps err in ErrMalformed, unless err means that the connection ended.
-func asMalformed(err error) error {
-	var ne net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne) {
-		return err
-	}
-	return errors.Wrap(ErrMalformed, err.Error())
-}
-
-func readAll(r *http.Response) ([]byte, error) {
-	if r.ContentLength > MaxAnswerBytes {
-		return nil, errors.Wrap(ErrMalformed, "answer is too long")
-	}
-	if n := r.ContentLength; n >= 0 {
-		b := make([]byte, n)
-		_, err := io.ReadFull(r.Body, b)
-		return b, err
-	}
-	var buf bytes.Buffer
-	n, err := buf.ReadFrom(io.LimitReader(r.Body, MaxAnswerBytes+1))
-	if err == nil && n > MaxAnswerBytes {
-		err = errors.Wrap(ErrMalformed, "answer is too long")
+// readFinal reads one final answer.
+func (c *directConn) readFinal(o *Outgoing, l *AnswerLimits) (resp Answer, reuse bool, err error) {
+	a, err := c.answers.next(&http.Request{Method: o.Method}, l, o.MaxBody)
+	if err != nil {
+		return Answer{}, false, err
 	}
-	return buf.Bytes(), err
+	c.setIdleLimit(a.header)
+	return Answer{Status: a.status, Header: a.header, Body: a.body, Reservation: a.reservation}, !a.closing, nil
 }
 
 // setIdleLimit records until when the unused connection may be kept, from the Keep-Alive header.
--- a/internal/conn/muxserver.go
+++ b/internal/conn/muxserver.go
@@ -112,6 +112,7 @@
 			r := l.server.Run(sctx, b, s, deadline)
 			stop()
 			l.out.send(Response{Query: query, Reply: r})
+			r.Reservation.Release()
 			l.finishSub(key)
 		})
 	}
--- a/internal/conn/outgoing.go
+++ b/internal/conn/outgoing.go
@@ -24,6 +24,8 @@
 	Body []byte
 	// Names are the names of the platform's headers.
 	Names *tier.HeaderNames
+	// MaxBody lowers the limit of the answer's body; 0 leaves it as it is.
+	MaxBody int64
 }
 
 // hopHeaders concern one connection only, or are set anew, and are not forwarded.
@@ -89,6 +91,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Reservation is the room that Body takes; whoever drops the answer releases it.
+	Reservation Reservation
 }
 
 // Errors returned by Direct.
--- a/internal/conn/owner.go
+++ b/internal/conn/owner.go
@@ -37,6 +37,8 @@
 	Settings func(tier.Service, tier.ServerID) Settings
 	// Certs is used for TLS connections to servers; nil means plain HTTP.
 	Certs *Certs
+	// Limits bounds servers' answers.
+	Limits AnswerLimits
 	// OnDeath is called when a server has died.
 	OnDeath func(Death)
 	// OnSilent is called when a connection to a server stops responding.
@@ -78,7 +80,7 @@
 
 func (o *Owner) add(s tier.Announcement, cold bool, now time.Duration) *Pool {
 	r := o.Settings(s.Service, s.Server)
-	p := newPool(s, o.Clock, r.MaxQueue, o.Certs)
+	p := newPool(s, o.Clock, r.MaxQueue, o.Certs, o.Limits)
 	if cold && r.SlowStart > 0 {
 		p.startColdRamp(now, r.SlowStart)
 	}
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -1,12 +1,8 @@
 package conn
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net"
-	"net/http"
 	"net/url"
 	"strconv"
 	"sync"
@@ -48,7 +44,7 @@
 	brokenFingerprints []tier.Fingerprint
 }
 
-func newPool(s tier.Announcement, clock tier.Clock, maxQueue int, certs *Certs) *Pool {
+func newPool(s tier.Announcement, clock tier.Clock, maxQueue int, certs *Certs, limits AnswerLimits) *Pool {
 	spareConns := &spares{address: s.Address, certs: certs, service: s.Service}
 	scheme := "http"
 	if certs != nil {
@@ -57,7 +53,7 @@
 	return &Pool{
 		server:    s,
 		clock:     clock,
-		transport: transport{spares: spareConns, base: url.URL{Scheme: scheme, Host: s.Address}},
+		transport: transport{spares: spareConns, base: url.URL{Scheme: scheme, Host: s.Address}, limits: limits},
 		running:   map[*Ticket]bool{},
 		slots:     Slots{Limit: maxRunning(s), MaxQueue: maxQueue},
 	}
@@ -179,36 +175,9 @@
 	p.transport.closeIdle(true)
 }
 
-// answer is a server's answer to a sub-request.
-type answer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
+// errTruncated means that a body is shorter than stated, or should be JSON and is not.
 var errTruncated = errors.New("answer is truncated or not JSON")
 
-// readBody reads a whole body; a truncated or too long body, or one that should be JSON and is not,
-// is an error.
-func readBody(resp *http.Response) ([]byte, error) {
-	buf := bytes.Buffer{}
-	if resp.ContentLength > 0 && resp.ContentLength <= MaxAnswerBytes {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
-	}
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	switch {
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, errTruncated
-	case err != nil:
-		return nil, err
-	case n > MaxAnswerBytes:
-		return nil, errors.Errorf("answer is longer than %d bytes", MaxAnswerBytes)
-	case resp.StatusCode == http.StatusOK && !json.Valid(buf.Bytes()):
-		return nil, errTruncated
-	}
-	return buf.Bytes(), nil
-}
-
 // checkDeath checks whether the server is gone after a connection to it broke. All requests that
 // were running share one probe and its result; first is true only for the call that found the
 // server dead.
--- a/internal/conn/search.go
+++ b/internal/conn/search.go
@@ -69,6 +69,10 @@
 	}
 	p.release(t, a.status == http.StatusOK)
 	applySearchAnswer(h, b.Snapshot, a, rep)
+	rep.Reservation = a.reservation
+	if rep.Result != ResultDone {
+		rep.Reservation.Release()
+	}
 	if rep.Result != ResultDone && rep.Reason == tier.ReasonTruncated {
 		o.OnRejected(s.Server, b.Request, rep.Reason)
 	}
@@ -118,7 +122,10 @@
 			rep.fail(tier.ReasonLost)
 			o.handleSilence(p, b.Request)
 		}
-	case errors.Is(err, errTruncated):
+	case errors.Is(err, ErrNoRoom):
+		p.release(t, false)
+		rep.fail(tier.ReasonNoRoom)
+	case errors.Is(err, errTruncated), errors.Is(err, ErrMalformed):
 		p.release(t, false)
 		rep.fail(tier.ReasonTruncated)
 		o.OnRejected(p.server.Server, b.Request, tier.ReasonTruncated)
--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -4,34 +4,33 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 const (
 	// connBufferBytes is the size of a connection's read buffer and of its write buffer.
 	connBufferBytes = 4 << 10
-	// maxAnswerTotalBytes is the maximum size of an answer with its header.
-	maxAnswerTotalBytes = MaxAnswerBytes + 1<<20
 )
 
 // persistConn is a connection to a server that carries one request at a time.
 type persistConn struct {
 	conn      net.Conn
-	in        *io.LimitedReader
-	r         *bufio.Reader
+	answers   *answerReader
 	w         *bufio.Writer
 	idleSince time.Time
 }
 
 func newPersistConn(c net.Conn) *persistConn {
-	in := &io.LimitedReader{R: c}
-	return &persistConn{conn: c, in: in, r: bufio.NewReaderSize(in, connBufferBytes), w: bufio.NewWriterSize(c, connBufferBytes)}
+	return &persistConn{conn: c, answers: newAnswerReader(c, connBufferBytes), w: bufio.NewWriterSize(c, connBufferBytes)}
 }
 
 // transport keeps the idle connections to one server. A request is written and its answer read in
@@ -39,6 +38,7 @@
 type transport struct {
 	spares *spares
 	base   url.URL
+	limits AnswerLimits
 
 	idle idleStack[*persistConn]
 }
@@ -49,7 +49,7 @@
 // get returns an idle connection that the server has not closed, or a new one.
 func (l *transport) get(ctx context.Context) (*persistConn, error) {
 	for c, ok := l.idle.pop(); ok; c, ok = l.idle.pop() {
-		if time.Since(c.idleSince) < MaxConnIdle && c.r.Buffered() == 0 && isReusable(c.conn) {
+		if time.Since(c.idleSince) < MaxConnIdle && c.answers.idle() && isReusable(c.conn) {
 			return c, nil
 		}
 		_ = c.conn.Close()
@@ -88,7 +88,7 @@
 	u := l.base
 	u.Path = path
 	req := &http.Request{Method: http.MethodPost, URL: &u, Host: u.Host, Header: h, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
-	a, reuse, err := c.exchange(req)
+	a, reuse, err := c.exchange(req, &l.limits)
 	if !stop() {
 		return a, ctxError(ctx, err)
 	}
@@ -118,34 +118,23 @@
 
 // exchange writes a request and reads its answer; reuse means that the connection may carry another
 // request. A connection that carried an answer to another request may not: the own answer may follow.
-func (c *persistConn) exchange(req *http.Request) (a answer, reuse bool, err error) {
+func (c *persistConn) exchange(req *http.Request, l *AnswerLimits) (a answer, reuse bool, err error) {
 	if err := req.Write(c.w); err != nil {
 		return answer{}, false, err
 	}
 	if err := c.w.Flush(); err != nil {
 		return answer{}, false, err
 	}
-	c.in.N = maxAnswerTotalBytes
-	resp, err := c.readFinal(req)
-	if err != nil {
-		return answer{}, false, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	b, err := readBody(resp)
-	if err != nil {
-		return answer{status: resp.StatusCode}, false, err
-	}
-	own := resp.Header.Get(tier.HeaderRequestID) == req.Header.Get(tier.HeaderRequestID)
-	return answer{resp.StatusCode, resp.Header, b}, own && !resp.Close, nil
-}
-
-// readFinal reads the final answer and skips interim (1xx) answers.
-func (c *persistConn) readFinal(req *http.Request) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.r, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-		_ = resp.Body.Close()
+	a, err = c.answers.next(req, l, 0)
+	switch {
+	case a.status != 0 && errors.Is(err, io.ErrUnexpectedEOF):
+		return a, false, errTruncated
+	case err != nil:
+		return a, false, err
+	case a.status == http.StatusOK && !json.Valid(a.body):
+		a.reservation.Release()
+		return answer{status: a.status}, false, errTruncated
 	}
+	own := a.header.Get(tier.HeaderRequestID) == req.Header.Get(tier.HeaderRequestID)
+	return a, own && !a.closing, nil
 }
--- a/internal/conn/transport_test.go
+++ b/internal/conn/transport_test.go
@@ -19,7 +19,7 @@
 )
 
 func transportTo(address string) *transport {
-	return &transport{spares: &spares{address: address}, base: url.URL{Scheme: "http", Host: address}}
+	return &transport{spares: &spares{address: address}, base: url.URL{Scheme: "http", Host: address}, limits: DefaultAnswerLimits()}
 }
 
 // echoServer starts a server that echoes request bodies and counts its connections.
@@ -158,7 +158,7 @@
 		{"header cut short", "HTTP/1.1 200 OK\r\nContent-Le"},
 		{"body cut short", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"},
 		{"not JSON", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{"},
-		{"endless header", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Fill: "+strings.Repeat("x", 4000)+"\r\n", 2*maxAnswerTotalBytes/4000)},
+		{"endless header", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Fill: "+strings.Repeat("x", 4000)+"\r\n", 2*(MaxAnswerBytes+1<<20)/4000)},
 	} {
 		l := rawServer(t, func(conn net.Conn) {
 			takeRequest(conn)
--- a/internal/conn/wire.go
+++ b/internal/conn/wire.go
@@ -70,6 +70,8 @@
 	WaitUs int64 `cbor:"11,keyasint"`
 	// Signature is the server's signature of Data, if the platform uses signatures.
 	Signature string `cbor:"12,keyasint,omitempty"`
+	// Reservation is the room that Data takes in this process; whoever drops the reply releases it.
+	Reservation Reservation `cbor:"-"`
 }
 
 // Write is a write on its way to the owner of its server.
--- a/internal/conn/write.go
+++ b/internal/conn/write.go
@@ -46,9 +46,17 @@
 	case err == nil:
 		p.release(t, a.status == http.StatusOK)
 		applyWriteAnswer(w, a, rep)
+		a.reservation.Release()
 	case neverReached(err):
 		p.release(t, false)
 		rep.Result, rep.Reason = ResultNotRun, tier.ReasonLost
+	case errors.Is(err, ErrNoRoom):
+		p.release(t, false)
+		rep.fail(tier.ReasonNoRoom)
+	case errors.Is(err, errTruncated), errors.Is(err, ErrMalformed):
+		p.release(t, false)
+		rep.fail(tier.ReasonTruncated)
+		o.OnRejected(w.Server, w.Request, tier.ReasonTruncated)
 	case errors.Is(err, context.DeadlineExceeded):
 		p.releaseLater(t)
 		rep.fail(tier.ReasonLost)
--- a/internal/edge/catalog.go
+++ b/internal/edge/catalog.go
@@ -21,6 +21,8 @@
 type catalog struct {
 	// onDial is called for each new connection.
 	onDial func()
+	// limits bounds servers' answers.
+	limits *conn.AnswerLimits
 
 	// mu guards the records and their indexes.
 	mu        sync.Mutex
@@ -119,7 +121,7 @@
 	if old != nil {
 		closing = append(closing, old.direct)
 	}
-	c.targets.Store(id, &target{rec: r, direct: &conn.Direct{Address: r.Address, Server: id, OnDial: c.onDial}})
+	c.targets.Store(id, &target{rec: r, direct: &conn.Direct{Address: r.Address, Server: id, OnDial: c.onDial, Limits: c.limits}})
 	return closing
 }
 
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,23 +8,37 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
+// noRoomRetryAfter is the retry delay for callers whose body finds no room: the time of a few
+// requests, after which others have given back theirs.
+const noRoomRetryAfter = 300 * time.Millisecond
+
 // ServeHTTP forwards a caller's request.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	in, status := n.readRequest(w, r)
+	in, room, status := n.readRequest(w, r)
 	if status != 0 {
-		n.respond(w, reqst.Outbound{Status: status})
+		out := reqst.Outbound{Status: status}
+		if status == http.StatusServiceUnavailable {
+			out.RetryAfter = noRoomRetryAfter
+		}
+		n.respond(w, out)
 		return
 	}
-	n.respond(w, n.forwarder.Forward(r.Context(), in))
+	defer room.Release()
+	out := n.forwarder.Forward(r.Context(), in)
+	n.respond(w, out)
+	if out.Release != nil {
+		out.Release()
+	}
 }
 
-// readRequest reads a request with its whole body. status is 0, or the HTTP status with which the
-// request is refused.
-func (n *Node) readRequest(w http.ResponseWriter, r *http.Request) (in *reqst.Inbound, status int) {
+// readRequest reads a request with its whole body; room is what the body takes in the node's budget.
+// status is 0, or the HTTP status with which the request is refused.
+func (n *Node) readRequest(w http.ResponseWriter, r *http.Request) (in *reqst.Inbound, room conn.Reservation, status int) {
 	in = &reqst.Inbound{ID: r.Header.Get(n.Names.RequestID), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header}
 	if !strings.HasPrefix(in.Target, "/") {
 		in.Target = r.URL.RequestURI()
@@ -35,22 +48,40 @@
 		in.TimeLeft = tier.Millis(ms).Duration()
 	}
 	if r.Body == nil || r.Body == http.NoBody {
-		return in, 0
+		return in, room, 0
 	}
 	limit := n.bodyLimit()
 	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, room, http.StatusRequestEntityTooLarge
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, room, err := n.readBody(w, r, limit, in.TimeLeft)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
+	case errors.As(err, &tooLarge) || errors.Is(err, conn.ErrBodyTooLong):
+		return nil, room, http.StatusRequestEntityTooLarge
+	case errors.Is(err, conn.ErrNoRoom):
+		return nil, room, http.StatusServiceUnavailable
 	case err != nil:
-		return nil, http.StatusRequestTimeout
+		return nil, room, http.StatusRequestTimeout
 	}
 	in.Body = body
-	return in, 0
+	return in, room, 0
+}
+
+// readBody reads a caller's body. A body that is not complete when the caller no longer waits, or
+// after the time limit for bodies, is given up.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, limit int64, left time.Duration) ([]byte, conn.Reservation, error) {
+	wait := n.Settings.Limits.BodyTimeout
+	if left > 0 && (wait == 0 || left < wait) {
+		wait = left
+	}
+	if wait > 0 {
+		c := http.NewResponseController(w)
+		// A writer without deadlines, as in tests, has no connection that could stall.
+		_ = c.SetReadDeadline(time.Now().Add(wait))
+		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	}
+	return conn.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, n.budget)
 }
 
 func (n *Node) bodyLimit() int64 {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -70,6 +70,8 @@
 	Listeners []Listener
 
 	boot         uint64
+	budget       *conn.Budget
+	answers      conn.AnswerLimits
 	mesh         *conn.Mesh
 	raft         *conn.Sender
 	replica      atomic.Pointer[ctrl.Replica]
@@ -97,7 +99,8 @@
 	n.stopped = make(chan struct{})
 	n.tableChanged = make(chan struct{}, 1)
 	n.workers = &work.Pool{}
-	n.catalog = &catalog{onDial: func() { n.Stats.Count("server_connections", "opened") }}
+	n.buildLimits()
+	n.catalog = &catalog{limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }}
 	n.catalog.start()
 	n.gossip = &gossip{settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged}
 	if n.Certs == nil {
@@ -120,6 +123,24 @@
 	}
 }
 
+// heldBytesDivisor divides the process's memory limit to get the maximum of its Budget: a body that
+// grows is copied, and the collector frees the copies later.
+const heldBytesDivisor = 8
+
+func (n *Node) buildLimits() {
+	s := &n.Settings
+	held := s.HeldBytes
+	if most := s.MemoryBytes / heldBytesDivisor; most > 0 && (held == 0 || most < held) {
+		held = most
+	}
+	n.budget = &conn.Budget{Limit: held}
+	n.answers = s.Answers
+	if n.answers == (conn.AnswerLimits{}) {
+		n.answers = conn.DefaultAnswerLimits()
+	}
+	n.answers.Budget = n.budget
+}
+
 // connLimit returns this node's share of the connections that a server allows.
 func (n *Node) connLimit(id tier.ServerID) int {
 	t := n.Routes()
@@ -223,10 +244,7 @@
 	if err != nil {
 		return tier.At("listen", l.Address, err)
 	}
-	lim := n.Settings.Limits
-	srv := &http.Server{
-		Handler: l.Handler, MaxHeaderBytes: lim.HeaderBytes, ReadHeaderTimeout: lim.HeaderTimeout, IdleTimeout: lim.IdleTimeout,
-	}
+	srv := n.httpServer(l.Handler)
 	n.servers = append(n.servers, srv)
 	closing := make(chan struct{})
 	g.Add(func() error {
@@ -243,6 +261,17 @@
 	return nil
 }
 
+// httpServer returns the server of one interface.
+func (n *Node) httpServer(h http.Handler) *http.Server {
+	lim := n.Settings.Limits
+	srv := &http.Server{Handler: h, MaxHeaderBytes: lim.HeaderBytes, ReadHeaderTimeout: lim.HeaderTimeout, IdleTimeout: lim.IdleTimeout}
+	if h != http.Handler(n) {
+		// Servers and operators send short requests; readBody bounds those of callers.
+		srv.ReadTimeout = lim.BodyTimeout
+	}
+	return srv
+}
+
 // maintain closes connections to servers that have been idle for too long, and publishes whether
 // the node is busy.
 func (n *Node) maintain(ctx context.Context) error {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -62,6 +63,10 @@
 	MemoryBytes int64
 	// Limits bounds callers' requests; BodyBytes applies until a routing table sets it.
 	Limits CallerLimits
+	// Answers bounds servers' answers. HeldBytes bounds the bodies of callers and servers that the
+	// process holds at a time; 0 means no bound.
+	Answers   conn.AnswerLimits
+	HeldBytes int64
 }
 
 // CallerLimits are the limits of the callers' listener. Only BodyBytes can be replaced by a routing
@@ -70,12 +75,14 @@
 	HeaderBytes   int
 	BodyBytes     int64
 	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyTimeout bounds the reception of a body after its header; 0 means no bound.
+	BodyTimeout time.Duration
+	IdleTimeout time.Duration
 }
 
 // DefaultLimits returns limits well above those that a routing table usually sets.
 func DefaultLimits() CallerLimits {
-	return CallerLimits{HeaderBytes: 64 << 10, BodyBytes: 8 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}
+	return CallerLimits{HeaderBytes: 64 << 10, BodyBytes: 8 << 20, HeaderTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, IdleTimeout: 75 * time.Second}
 }
 
 // linkAddress returns a node's address for streams.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,8 +130,14 @@
 }
 
 func (n *Node) buildEngine() {
+	limits := n.Settings.Answers.Limits()
+	if limits == (conn.AnswerLimits{}) {
+		limits = conn.DefaultAnswerLimits()
+	}
+	limits.Budget = &conn.Budget{Limit: n.Settings.Answers.HeldBytes}
 	n.owner = &conn.Owner{
-		Clock: n.Clock, MaySend: n.fleet.MaySend, Settings: n.serverSettings,
+		Limits: limits,
+		Clock:  n.Clock, MaySend: n.fleet.MaySend, Settings: n.serverSettings,
 		Certs: n.serverCerts(), OnDeath: n.serverDied, OnSilent: n.serverSilent, OnRejected: n.answerRejected,
 	}
 	n.engine = &reqst.Engine{
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -75,7 +75,7 @@
 		b.RecordRefusal(now, id)
 	case rep.Reason == tier.ReasonServerError || rep.Reason == tier.ReasonTruncated:
 		b.RecordError(now, id)
-	case rep.Reason == tier.ReasonCanceled:
+	case rep.Reason == tier.ReasonCanceled || rep.Reason == tier.ReasonNoRoom:
 		b.RecordLowerBound(now, id, ratio)
 	default:
 		b.RecordFailure(now, id)
@@ -117,6 +117,8 @@
 		rep.Reason = tier.ReasonRefused
 	case errors.Is(err, context.Canceled):
 		rep.Reason = tier.ReasonCanceled
+	case errors.Is(err, conn.ErrNoRoom):
+		rep.Reason = tier.ReasonNoRoom
 	case errors.Is(err, conn.ErrMalformed):
 		rep.Reason = tier.ReasonTruncated
 	case err != nil:
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -63,6 +63,9 @@
 	RetryAfter time.Duration
 	// Reason says why there is no answer from a server.
 	Reason tier.Reason
+	// Release, if not nil, must be called once Body has been written: it gives back the room that the
+	// servers' answers took.
+	Release func()
 }
 
 // Forwarder forwards callers' requests to servers by the routing table, over the node's own
@@ -202,6 +205,7 @@
 		return refusal(tier.ReasonQuarantine, hold)
 	}
 	out := f.run(ctx)
+	out.Release = f.reservations.Release
 	f.log(&out)
 	return out
 }
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -23,6 +23,10 @@
 	// rejectDivisor divides a route's target into the minimum time left with which a request
 	// is rejected because of queues: the caller then has time for another attempt.
 	rejectDivisor = 2
+	// A part may be partLimitFactor times as long as the merged answer of its route, and at least
+	// minPartLimit: a server sends its records unsorted and may send more than it has to.
+	partLimitFactor = 64
+	minPartLimit    = 64 << 10
 	// lingerFactor is the time that a sub-request that is no longer needed may keep running,
 	// as a multiple of the usual latency and bounded by minLinger and maxLinger. Most pauses
 	// of servers end within it.
@@ -48,7 +52,9 @@
 	lastAnswer    *conn.Answer
 	routesVersion vers.RoutesVersion
 	attempts      attemptLog
-	fingerprint   tier.Fingerprint
+	// reservations are those of the answers that this node holds for the request.
+	reservations conn.Reservations
+	fingerprint  tier.Fingerprint
 	// lateShards is the number of shards expected to be late when the request arrived.
 	lateShards int
 }
@@ -71,6 +77,7 @@
 	}
 	layout, servers := f.layout()
 	f.out = conn.NewOutgoing(&d.Names, f.in.Method, f.in.Target, f.in.Host, f.in.ID, f.in.Header, f.in.Body)
+	f.out.MaxBody = f.maxPartBytes()
 	f.plan = &Plan{Layout: layout, Options: f.planOptions(), Select: f.pickServer, Hedge: f.hedge, Retry: f.spendRetry}
 	f.replies = make(chan *directReply, servers)
 	f.cancels = make(map[int]context.CancelFunc, len(f.services))
@@ -161,6 +168,14 @@
 	return t
 }
 
+// maxPartBytes returns the limit of a part's body, or 0 if the route does not gather parts.
+func (f *forwarding) maxPartBytes() int64 {
+	if len(f.route.Gather) == 0 {
+		return 0
+	}
+	return max(minPartLimit, partLimitFactor*recordBytes*int64(f.route.Top))
+}
+
 // minParts returns the number of parts that reach the route's minimum share.
 func minParts(r *vers.Route) int {
 	n := len(r.Gather)
@@ -282,7 +297,9 @@
 	d.Workers.Go(func() {
 		defer cancel()
 		// The channel has room for one reply of each server, so this never blocks.
-		replies <- sub.run(ctx)
+		r := sub.run(ctx)
+		f.reservations.Add(r.answer.Reservation)
+		replies <- r
 	})
 }
 
--- a/internal/reqst/gather.go
+++ b/internal/reqst/gather.go
@@ -52,6 +52,7 @@
 		engine: e, id: id, query: q, rank: rank, fingerprint: fingerprint, suspect: suspect,
 		deadline: now + e.allowedTime(q.DeadlineMs, q.Service, a),
 	}
+	defer g.reservations.Release()
 	ans := g.run(ctx)
 	target := e.Fleet.Config().Millis(vers.KeyAdmitTarget, vers.Service(q.Service))
 	end := e.Clock.Now()
@@ -80,6 +81,8 @@
 	replies chan conn.Reply
 	cancels map[int]func()
 	sent    map[int]time.Duration
+	// reservations are those of the answers of this node's own servers.
+	reservations conn.Reservations
 }
 
 const (
@@ -329,7 +332,9 @@
 			g.cancels[s.Attempt] = cancel
 			g.engine.Workers.Go(func() {
 				defer cancel()
-				deliver(ctx, out, g.engine.Owner.Query(sctx, msg, s, g.deadline))
+				r := g.engine.Owner.Query(sctx, msg, s, g.deadline)
+				g.reservations.Add(r.Reservation)
+				deliver(ctx, out, r)
 			})
 		}
 		return
--- a/internal/setup/check.go
+++ b/internal/setup/check.go
@@ -190,6 +190,7 @@
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
 	c.limits(s.Limits)
+	c.answers(s.Answers)
 }
 
 func (c *checker) limits(l Limits) {
--- a/internal/setup/edge.go
+++ b/internal/setup/edge.go
@@ -27,6 +27,7 @@
 	TTLMs              tier.Millis   `json:"ttl_ms" doc:"How long callers may cache the list of nodes to use." unit:"ms" allow:"100 to 60000" default:"5000"`
 	Repeats            Repeats       `json:"repeats" doc:"Budget for sub-requests beyond the first of each request, per service over the whole fleet."`
 	Limits             EdgeLimits    `json:"limits" doc:"Limits on callers where the routing table sets none, and limits of the process."`
+	Answers            Answers       `json:"answers" doc:"Limits on servers' answers; one that exceeds them ends its connection."`
 	TLS                TLS           `json:"tls" doc:"Certificate for connections between nodes; empty means a certificate generated at start and no verification, for networks that only the nodes can reach."`
 	Log                Log           `json:"log" doc:"Logs, on standard output."`
 }
@@ -43,6 +44,7 @@
 	BodyBytes   int64       `json:"body_bytes" doc:"Largest request body." unit:"bytes" allow:"1024 to 16777216" default:"8388608"`
 	HeaderBytes int         `json:"header_bytes" doc:"Largest request header." unit:"bytes" allow:"1024 to 1048576" default:"65536"`
 	ReadMs      tier.Millis `json:"read_ms" doc:"Time limit for receiving a request's header." unit:"ms" allow:"100 to 60000" default:"10000"`
+	BodyMs      tier.Millis `json:"body_ms" doc:"Time limit for receiving a request's body after its header." unit:"ms" allow:"100 to 600000" default:"30000"`
 	IdleMs      tier.Millis `json:"idle_ms" doc:"How long an idle connection of a caller is kept open." unit:"ms" allow:"1000 to 600000" default:"75000"`
 	MemoryMB    int         `json:"memory_mb" doc:"Memory limit of the process, near which garbage is collected more often; 0 means no limit." unit:"MB" allow:"0 to 1048576" default:"0"`
 }
@@ -52,7 +54,8 @@
 	return Edge{
 		LinkPort: 7740, GossipPort: 7741, Tolerance: 1, AnnounceIntervalMs: 1000, GraceMs: 6000, TTLMs: 5000,
 		Repeats: Repeats{Percent: 10, Fixed: 50, WindowMs: 10000},
-		Limits:  EdgeLimits{BodyBytes: 8 << 20, HeaderBytes: 64 << 10, ReadMs: 10000, IdleMs: 75000},
+		Limits:  EdgeLimits{BodyBytes: 8 << 20, HeaderBytes: 64 << 10, ReadMs: 10000, BodyMs: 30000, IdleMs: 75000},
+		Answers: AnswerDefaults(),
 		Log:     Log{Level: "info", Format: "json"},
 	}
 }
@@ -113,8 +116,10 @@
 	c.number("limits.body_bytes", s.Limits.BodyBytes, 1024, 16<<20)
 	c.number("limits.header_bytes", int64(s.Limits.HeaderBytes), 1024, 1<<20)
 	c.number("limits.read_ms", int64(s.Limits.ReadMs), 100, 60000)
+	c.number("limits.body_ms", int64(s.Limits.BodyMs), 100, 600000)
 	c.number("limits.idle_ms", int64(s.Limits.IdleMs), 1000, 600000)
 	c.number("limits.memory_mb", int64(s.Limits.MemoryMB), 0, 1<<20)
+	c.answers(s.Answers)
 	c.files("tls", s.TLS, s.TLS != (TLS{}))
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -41,6 +41,7 @@
 	ServerTokens []string     `json:"server_tokens" doc:"SHA-256 of the tokens with which servers may announce themselves, in hex." allow:"64 hex digits each"`
 	Log          Log          `json:"log" doc:"Logs, on standard error."`
 	Limits       Limits       `json:"limits" doc:"Limits on callers."`
+	Answers      Answers      `json:"answers" doc:"Limits on servers' answers; one that exceeds them ends its connection."`
 }
 
 // TLS holds the paths of PEM files.
@@ -74,9 +75,10 @@
 // Defaults returns settings with the default of every key that has one.
 func Defaults() Settings {
 	return Settings{
-		Roles:  []string{RoleEntry},
-		Log:    Log{Level: "info", Format: "json"},
-		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, ReadMs: 5000, Connections: 20000, FanOut: 1000},
+		Roles:   []string{RoleEntry},
+		Log:     Log{Level: "info", Format: "json"},
+		Limits:  Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10, ReadMs: 5000, Connections: 20000, FanOut: 1000},
+		Answers: AnswerDefaults(),
 	}
 }
 
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -66,6 +66,11 @@
 		s.setState(false, 300*time.Millisecond)
 		f.afterDelay(d, func() { s.setState(false, 0) })
 	}},
+	{"server answers without end", func(f *Fleet, _ *host, d time.Duration) {
+		s := f.randomServer()
+		s.setEndless(true)
+		f.afterDelay(d, func() { s.setEndless(false) })
+	}},
 	{"server drains", func(f *Fleet, _ *host, d time.Duration) {
 		s := f.randomServer()
 		s.setState(true, 0)
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -33,6 +33,9 @@
 	draining  bool
 	crashed   bool
 	delay     time.Duration
+	// endless makes the server answer by bytes without end, each time in another way.
+	endless     bool
+	endlessKind int
 	// drainedBy is when an acknowledged drain must have taken effect; zero if there is none.
 	drainedBy time.Time
 	http      *http.Server
@@ -96,6 +99,12 @@
 	}
 }
 
+func (s *server) setEndless(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endless = on
+}
+
 func (s *server) close() {
 	close(s.stop)
 	s.crash()
@@ -165,13 +174,20 @@
 	}
 	id := r.Header.Get(tier.HeaderRequestID)
 	if want := r.Header.Get(tier.DefaultHeaders().Expect); want != "" && want != s.id {
+		w.Header().Set(tier.HeaderRequestID, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	s.mu.Lock()
+	endless, kind := s.endless, s.endlessKind
+	s.endlessKind++
 	delay, afterDrain := s.delay, !s.drainedBy.IsZero() && time.Now().After(s.drainedBy)
 	s.mu.Unlock()
 	s.checker.recordRun(id, s.service, afterDrain)
+	if endless {
+		stand.SendEndless(w, r, kind, tier.HeaderRequestID)
+		return
+	}
 	time.Sleep(delay)
 	w.Header().Set(tier.HeaderRequestID, id)
 	if r.Method == http.MethodPost {
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -129,7 +129,8 @@
 // requestPlan is how one request is handled, decided at its arrival: its work time and which faults apply.
 type requestPlan struct {
 	work                                 time.Duration
-	shed, truncate, drop, mix            bool
+	shed, truncate, drop, mix, endless   bool
+	endlessKind                          int
 	poison, silent, overSlots, falseLoad bool
 }
 
@@ -148,6 +149,9 @@
 	j.truncate = s.rand.Float64() < f.TruncateShare
 	j.drop = s.rand.Float64() < f.DropShare
 	j.mix = s.rand.Float64() < f.MixShare
+	if f.EndlessShare > 0 {
+		j.endless, j.endlessKind = s.rand.Float64() < f.EndlessShare, s.rand.IntN(len(endlessAnswers))
+	}
 	j.work = s.workTime()
 	if j.overSlots {
 		s.totals.Overrun++
@@ -247,7 +251,7 @@
 	s.finish(true)
 	w.Header().Set(tier.HeaderVersion, version)
 	w.Header().Set(tier.HeaderShard, shard)
-	s.sendAnswer(w, j, s.searchAnswer(version, shard, body))
+	s.sendAnswer(w, r, j, s.searchAnswer(version, shard, body))
 }
 
 func simulateWork(ctx context.Context, d time.Duration) bool {
@@ -289,7 +293,7 @@
 		return
 	}
 	s.runWrite(r, j, body)
-	s.sendAnswer(w, j, fmt.Appendf(nil, `{"server":%q,"confirmed":%d}`, s.id, xxhash.Sum64(body)))
+	s.sendAnswer(w, r, j, fmt.Appendf(nil, `{"server":%q,"confirmed":%d}`, s.id, xxhash.Sum64(body)))
 }
 
 // runWrite counts a write and simulates its work, which goes on if the caller disconnects.
@@ -323,17 +327,21 @@
 	}
 	if r.Method == http.MethodPost {
 		s.runWrite(r, j, body)
-		s.sendAnswer(w, j, []byte(WriteAnswer(s.id, id)))
+		s.sendAnswer(w, r, j, []byte(WriteAnswer(s.id, id)))
 		return
 	}
 	done := simulateWork(r.Context(), j.work)
 	s.finish(done)
 	if done {
-		s.sendAnswer(w, j, Records(id, byte(s.group)))
+		s.sendAnswer(w, r, j, Records(id, byte(s.group)))
 	}
 }
 
-func (s *server) sendAnswer(w http.ResponseWriter, j requestPlan, data []byte) {
+func (s *server) sendAnswer(w http.ResponseWriter, r *http.Request, j requestPlan, data []byte) {
+	if j.endless {
+		SendEndless(w, r, j.endlessKind, tier.HeaderRequestID)
+		return
+	}
 	if j.drop {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/stand/spec.go
+++ b/internal/stand/spec.go
@@ -78,6 +78,8 @@
 	DropShare float64 `json:"drop_share"`
 	// MixShare is the fraction of answers that carry the id of another request.
 	MixShare float64 `json:"mix_share"`
+	// EndlessShare is the fraction of requests that are answered by bytes without end.
+	EndlessShare float64 `json:"endless_share"`
 	// Silent leaves all requests on the connections that are open now unanswered, even after the fault is cleared.
 	Silent bool `json:"silent"`
 	// Lie makes the servers report that they are idle.
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// maxResponseBytes limits the response body that is read.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes limits the body of a response, maxResponseHeaderBytes its header together with
+	// interim responses.
+	maxResponseBytes       = 64 << 20
+	maxResponseHeaderBytes = 64 << 10
 	// retryPause is the delay between two attempts.
 	retryPause = 100 * time.Millisecond
 )
@@ -27,6 +29,19 @@
 // ErrNoEntry means that an entry returned an empty list of entries, for example because all are draining.
 var ErrNoEntry = errors.New("no entry to use")
 
+// ErrResponseTooLong means that a response has a longer body than any response of an entry.
+var ErrResponseTooLong = errors.New("response is too long")
+
+// defaultHTTP sends the requests of clients without an HTTP client of their own.
+var defaultHTTP = &http.Client{Transport: Transport()}
+
+// Transport returns a transport that bounds the headers of responses.
+func Transport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxResponseHeaderBytes
+	return t
+}
+
 // Raw is a request body that is sent unchanged.
 type Raw []byte
 
@@ -45,7 +60,7 @@
 	Entries []string
 	// Name and Secret are the credentials of the caller's or operator's account.
 	Name, Secret string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means a client with Transport and no time-out.
 	HTTP *http.Client
 	// Scheme is http or https; empty means http.
 	Scheme string
@@ -68,7 +83,10 @@
 		return tier.At(method+" "+path, entry, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(b) > maxResponseBytes {
+		err = ErrResponseTooLong
+	}
 	if err != nil {
 		return tier.At("read response of "+path, entry, err)
 	}
@@ -88,7 +106,7 @@
 // httpClient returns the client that sends the requests.
 func (c *Client) httpClient() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return defaultHTTP
 	}
 	return c.HTTP
 }
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -39,6 +39,7 @@
 	ReasonCanceled    Reason = "canceled"
 	ReasonNoRoute     Reason = "no_route"
 	ReasonRefused     Reason = "connection_refused"
+	ReasonNoRoom      Reason = "no_room"
 )
 
 // QueryRequest is the body of POST /v1/query.
