Planned stop: requests that have been accepted are answered

Cause: http.Server.Shutdown closes the listening socket, which resets the connections that wait to be accepted, and it closes without an answer each connection whose request is read after it began, also one of which half had arrived. Change: DrainListener takes its place on edge nodes and first nodes. It takes the waiting connections before the socket ends (a socket filter drops new handshakes meanwhile), answers requests that arrive on established connections, and closes idle ones.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -87,7 +86,7 @@
 	stopped      chan struct{}
 	stopOnce     sync.Once
 	ctx          context.Context
-	servers      []*http.Server
+	servers      []server
 	logged       loggedState
 	// usage is accessed by maintain only.
 	usage usage
@@ -239,13 +238,20 @@
 	return err
 }
 
+// server is the HTTP server of one interface.
+type server struct {
+	http     *http.Server
+	listener *conn.DrainListener
+}
+
 func (n *Node) listen(g *run.Group, l Listener) error {
-	sock, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.Address)
+	sock, err := conn.Listen(l.Address, nil)
 	if err != nil {
-		return tier.At("listen", l.Address, err)
+		return err
 	}
 	srv := n.httpServer(l.Handler)
-	n.servers = append(n.servers, srv)
+	srv.ConnState = sock.ConnState
+	n.servers = append(n.servers, server{srv, sock})
 	closing := make(chan struct{})
 	g.Add(func() error {
 		err := srv.Serve(sock)
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -54,10 +53,10 @@
 	var shutdowns sync.WaitGroup
 	for _, srv := range n.servers {
 		shutdowns.Add(1)
-		go func(srv *http.Server) {
+		go func() {
 			defer shutdowns.Done()
-			_ = srv.Shutdown(shutdownCtx)
-		}(srv)
+			srv.listener.Drain(shutdownCtx, srv.http)
+		}()
 	}
 	shutdowns.Wait()
 	event.DrainEnded.Log(n.Log, nil, logrus.Fields{"open": n.forwarder.Open()})
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -23,7 +23,7 @@
 // httpServer is the node's HTTP server for callers, servers and operators.
 type httpServer struct {
 	server    *http.Server
-	listener  net.Listener
+	listener  *conn.DrainListener
 	tls       bool
 	closing   chan struct{}
 	closeOnce sync.Once
@@ -32,9 +32,9 @@
 // listen opens the listener of the HTTP server and sets the server up.
 func (n *Node) listen() error {
 	s := &n.Settings
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Callers)
+	l, err := conn.Listen(s.Callers, func(base net.Listener) net.Listener { return netutil.LimitListener(base, s.Limits.Connections) })
 	if err != nil {
-		return tier.At("listen for callers", s.Callers, err)
+		return err
 	}
 	srv := &http.Server{
 		Handler:           n.routes(),
@@ -42,8 +42,9 @@
 		ReadHeaderTimeout: s.Limits.ReadMs.Duration(),
 		ReadTimeout:       s.Limits.ReadMs.Duration(),
 		IdleTimeout:       callerIdleTimeout,
+		ConnState:         l.ConnState,
 	}
-	n.web = &httpServer{server: srv, listener: netutil.LimitListener(l, s.Limits.Connections), closing: make(chan struct{})}
+	n.web = &httpServer{server: srv, listener: l, closing: make(chan struct{})}
 	return n.callerTLS()
 }
 
@@ -78,7 +79,7 @@
 }
 
 // shutdown stops accepting connections and waits for the requests in flight.
-func (w *httpServer) shutdown(ctx context.Context) { _ = w.server.Shutdown(ctx) }
+func (w *httpServer) shutdown(ctx context.Context) { w.listener.Drain(ctx, w.server) }
 
 func (w *httpServer) close() {
 	w.closeOnce.Do(func() { close(w.closing) })
