Edge nodes: a restarted or suspended host serves once it knows what was withdrawn meanwhile

Cause: a host that starts with copies of the routing table and the membership on its disk served from them at once. A route that was withdrawn while it was down was served for the first moments (TestRestartedMachineUsesNothingThatWasWithdrawn failed: 200 on a dropped route); a server that had left could be asked. A host that wakes from a suspension did the same. Change: State.Current is false from a start or a gap of ticks until the host has compared its records with another one's and holds the newest table that others name, for a second at most; the node refuses callers meanwhile (503, not run) and is not ready. The records that answer a digest end with a mark, after which another probe shows whether all have arrived. Observations of servers that have left are dropped every minute.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -37,7 +37,12 @@
 	// cachedCounts is recomputed whenever hosts changes, as it is read for every choice of a
 	// server.
 	cachedCounts atomic.Pointer[hostCounts]
-	peers        map[tier.NodeID]netip.AddrPort
+	// isCurrent is State.Current at lastApplied, a time of clock; currentChanged is signalled when it
+	// changes.
+	isCurrent      atomic.Bool
+	lastApplied    atomic.Int64
+	currentChanged chan struct{}
+	peers          map[tier.NodeID]netip.AddrPort
 }
 
 func (g *gossip) start(self spread.Host, lease time.Duration) error {
@@ -68,7 +73,8 @@
 	eff := g.state.TakeEffects()
 	g.batch.add(&eff)
 	eff.Hosts, eff.Servers = false, nil
-	if g.batch.due(now, own) {
+	current := g.state.Current(now)
+	if g.batch.due(now, own || current != g.isCurrent.Load()) {
 		eff.Hosts, eff.Servers = g.batch.flush(now)
 	}
 	if eff.Hosts {
@@ -83,6 +89,22 @@
 	if len(eff.Servers) > 0 || eff.Hosts || eff.NewerRoutesPeer != "" || len(eff.Faults) > 0 {
 		g.onChange(eff)
 	}
+	g.lastApplied.Store(int64(now))
+	if g.isCurrent.Swap(current) != current {
+		select {
+		case g.currentChanged <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// maxTickGap is the time without a tick after which a process was suspended.
+const maxTickGap = 900 * time.Millisecond
+
+// current reports whether the records are up to date. It is false right after a suspension, before the
+// first tick.
+func (g *gossip) current() bool {
+	return g.isCurrent.Load() && int64(g.clock.Now())-g.lastApplied.Load() < int64(maxTickGap)
 }
 
 func (g *gossip) send(s *spread.Send) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -27,6 +27,9 @@
 	// maintenanceInterval is the interval of closing idle connections to servers and of measuring
 	// usage; usage.record requires one second.
 	maintenanceInterval = time.Second
+	// forgetRounds is the number of maintenance rounds after which the observations of servers that
+	// have left are dropped.
+	forgetRounds = 60
 	// leaseIntervals is the length of a server's lease in announcement intervals.
 	leaseIntervals = 4
 	// confirmTimeout bounds how long the answer to a leaving server's announcement is delayed until
@@ -101,7 +104,7 @@
 	n.buildLimits()
 	n.catalog = &catalog{limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }}
 	n.catalog.start()
-	n.gossip = &gossip{settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged}
+	n.gossip = &gossip{settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged, currentChanged: make(chan struct{}, 1)}
 	if n.Certs == nil {
 		n.Certs = &conn.Certs{EphemeralName: n.Settings.ID}
 	}
@@ -116,7 +119,7 @@
 		kindTable:   n.serveTable,
 	}
 	n.forwarder = &reqst.Forwarder{
-		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.Routes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
+		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
 	}
@@ -213,6 +216,7 @@
 	work.Add(base, &g, n.raft.Run)
 	work.Add(base, &g, n.gossip.receive)
 	work.Add(base, &g, n.gossip.tick)
+	work.Add(base, &g, n.watchCurrent)
 	n.loadCopies()
 	work.Add(base, &g, n.runReplica)
 	work.Add(base, &g, n.saveCopies)
@@ -283,13 +287,16 @@
 func (n *Node) maintain(ctx context.Context) error {
 	t := time.NewTicker(maintenanceInterval)
 	defer t.Stop()
-	for {
+	for rounds := 0; ; {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
 			n.catalog.closeExpired(time.Now())
 			n.publishActive()
+			if rounds++; rounds%forgetRounds == 0 {
+				n.forwarder.ForgetGone()
+			}
 		}
 	}
 }
@@ -306,8 +313,30 @@
 	n.gossip.updateSelf(func(h *spread.Host) { h.Ready = ready })
 }
 
+// watchCurrent publishes whether the node serves callers when its records become current or are no
+// longer.
+func (n *Node) watchCurrent(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.gossip.currentChanged:
+			n.publishReady()
+		}
+	}
+}
+
+// servedRoutes returns the routing table for callers' requests, or nil while the node cannot know what
+// was withdrawn: after a start from the copies on its disk, or a suspension.
+func (n *Node) servedRoutes() *vers.Routes {
+	if !n.gossip.current() {
+		return nil
+	}
+	return n.Routes()
+}
+
 // Ready reports whether the node serves callers.
-func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() }
+func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() && n.gossip.current() }
 
 // Stopping reports whether the node is shutting down.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -20,6 +20,7 @@
 	if p.Ack != 0 {
 		delete(s.pushes, p.Ack)
 	}
+	s.heardRoutes = max(s.heardRoutes, p.Routes)
 	if p.Routes > s.routes {
 		s.effects.NewerRoutesPeer = p.From
 	}
@@ -32,6 +33,10 @@
 		s.send(p.From, Packet{Ack: p.Number})
 	}
 	s.compareDigests(now, p)
+	if p.Last && !s.synced {
+		// Packets overtake each other: another probe shows whether all records have arrived.
+		s.sendProbe(now, p.From)
+	}
 }
 
 func (s *State) closeProbe(id tier.NodeID) {
@@ -73,10 +78,11 @@
 		return
 	}
 	if p.Digest == nil || *p.Digest == local {
+		s.synced = s.synced || p.Reply != 0
 		return
 	}
 	if p.Reply != 0 {
-		if last, ok := s.lastCompared[p.From]; ok && now-last < minCompareInterval {
+		if last, ok := s.lastCompared[p.From]; ok && s.synced && now-last < minCompareInterval {
 			return
 		}
 		s.lastCompared[p.From] = now
@@ -87,6 +93,8 @@
 	}
 	if p.Reply != 0 {
 		pkts[len(pkts)-1].Digest = &local
+	} else {
+		pkts[len(pkts)-1].Last = true
 	}
 	for _, out := range pkts {
 		s.send(p.From, out)
@@ -122,6 +130,7 @@
 func (s *State) Tick(now time.Duration) {
 	if gap := now - s.lastTick; gap > hostTimeout {
 		s.extendTimers(gap)
+		s.syncStarted, s.synced = now, false
 	}
 	s.lastTick = now
 	s.join(now)
@@ -278,7 +287,7 @@
 func (s *State) sendProbe(now time.Duration, id tier.NodeID) {
 	s.lastNumber++
 	p := Packet{Probe: s.lastNumber, Sum: s.digest.sum()}
-	if now-s.started < introductionPeriod {
+	if now-s.syncStarted < introductionPeriod {
 		p.Hosts = []Host{s.self}
 	}
 	s.send(id, p)
--- a/internal/proc/spread/packet.go
+++ b/internal/proc/spread/packet.go
@@ -25,6 +25,8 @@
 	Servers []Server `cbor:"11,keyasint,omitempty"`
 	// Faults are requests during which servers failed.
 	Faults []Fault `cbor:"12,keyasint,omitempty"`
+	// Last marks the end of the records that answer a digest.
+	Last bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Fault reports that a server failed while it ran a request.
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -39,7 +39,10 @@
 	// minCompareInterval is the minimum time between two digest comparisons with the same peer, so that the records
 	// sent by the previous one have arrived.
 	minCompareInterval = 150 * time.Millisecond
-	// introductionPeriod is how long after its start a host adds its own record to every probe. Such a probe is
+	// syncTimeout is how long a host that has started or was suspended waits for the records of another
+	// one before it relies on its own.
+	syncTimeout = time.Second
+	// introductionPeriod is how long after its start or a suspension a host adds its own record to every probe. Such a probe is
 	// answered with a digest without delay, as the new host may still lack most records.
 	introductionPeriod = 3 * time.Second
 	// watchedSuccessors is the number of successors on the ring whose failure a host detects.
@@ -107,11 +110,16 @@
 	lastReceived time.Duration
 	// lastChange is when a record last changed, digestSent when this host last answered a probe with its digest,
 	// lastCompared when it last compared its records with the digest in a peer's reply.
-	started      time.Duration
 	lastChange   time.Duration
 	digestSent   time.Duration
 	lastCompared map[tier.NodeID]time.Duration
 	round        int
+	// syncStarted is when this host started or resumed after a suspension. synced is set once it has
+	// compared its records with another host's since, and heardRoutes is the newest version of the
+	// routing table that others have named.
+	syncStarted time.Duration
+	synced      bool
+	heardRoutes vers.RoutesVersion
 	// ringCache is the hash ring of the live hosts; nil after a change, until it is needed again.
 	ringCache      []tier.NodeID
 	changedServers []tier.ServerID
@@ -128,7 +136,7 @@
 	s.pushes = map[uint64]*push{}
 	s.probes = map[tier.NodeID]*probe{}
 	s.lastJoin, s.lastTick = now-joinInterval, now
-	s.started, s.digestSent, s.lastCompared = now, now-maxDigestInterval, map[tier.NodeID]time.Duration{}
+	s.syncStarted, s.digestSent, s.lastCompared = now, now-maxDigestInterval, map[tier.NodeID]time.Duration{}
 	s.putHost(now, self)
 	s.changedHosts = append(s.changedHosts, self.ID)
 }
@@ -187,11 +195,23 @@
 // Isolated reports whether this host is isolated: it has received no packet for so long that its records may be stale.
 // A host that knows of no other host is not isolated.
 func (s *State) Isolated(now time.Duration) bool {
-	others := len(s.hosts) > 1
+	return s.knowsOthers() && (!s.contacted || now-s.lastReceived > isolationTimeout)
+}
+
+// Current reports whether this host's records and routing table are those of the fleet, as far as
+// others have told: after its start or a suspension a host has missed what was withdrawn meanwhile. A
+// host that hears of no other for syncTimeout relies on its own.
+func (s *State) Current(now time.Duration) bool {
+	return (s.synced && s.heardRoutes <= s.routes) || now-s.syncStarted >= syncTimeout || !s.knowsOthers()
+}
+
+func (s *State) knowsOthers() bool {
 	for _, id := range s.Seeds {
-		others = others || id != s.self.ID
+		if id != s.self.ID {
+			return true
+		}
 	}
-	return others && (!s.contacted || now-s.lastReceived > isolationTimeout)
+	return len(s.hosts) > 1
 }
 
 // Hosts returns all records of hosts, sorted by id.
