--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -15,11 +15,12 @@
 	// refusedBackoff is the first delay before a retry after all servers of a shard refused a
 	// connection: some of their other connections close in that time.
 	refusedBackoff = 25 * time.Millisecond
-	// The time reserved for returning the answer to the caller is
-	// max(target/returnTimeDivisor, minReturnTime), where target is the route's target. The
-	// minimum is long enough for a new connection with a latency of over 3 ms one way.
-	returnTimeDivisor = 8
-	minReturnTime     = 10 * time.Millisecond
+	// The time reserved for returning the answer to the caller is target/returnTimeDivisor, where
+	// target is the route's target, and minReturnTime at least: 4.4 ms each way to a caller in another
+	// zone, and the work of a busy host. It is target/maxReturnTimeDivisor at most.
+	returnTimeDivisor    = 8
+	minReturnTime        = 14 * time.Millisecond
+	maxReturnTimeDivisor = 4
 	// rejectDivisor divides a route's target into the minimum time left with which a request
 	// is rejected because of queues: the caller then has time for another attempt.
 	rejectDivisor = 2
@@ -106,7 +107,12 @@
 // answerDue returns when the answer must be complete at this node to reach the caller in
 // time.
 func (f *forwarding) answerDue() time.Duration {
-	return f.target - max(f.route.Objective()/returnTimeDivisor, minReturnTime)
+	return f.target - returnTime(f.route.Objective())
+}
+
+// returnTime returns the time reserved for returning the answer of a route with this target.
+func returnTime(target time.Duration) time.Duration {
+	return max(target/returnTimeDivisor, min(minReturnTime, target/maxReturnTimeDivisor))
 }
 
 // countLateShards returns the number of shards where every server has a queue so long that
--- a/internal/reqst/flight_test.go
+++ b/internal/reqst/flight_test.go
@@ -57,3 +57,22 @@
 		require.Empty(t, d.extraBudgets, "%s: a rejected request must not count as a first sub-request", c.name)
 	}
 }
+
+// TestTimeKeptForTheWayToTheCaller covers the targets of the three users: what is kept covers the way
+// of 4.4 ms each to another zone and back wherever three quarters of the target are left.
+func TestTimeKeptForTheWayToTheCaller(t *testing.T) {
+	const way = 2 * 4400 * time.Microsecond
+	for _, c := range []struct{ target, kept time.Duration }{
+		{20 * time.Millisecond, 5 * time.Millisecond},
+		{40 * time.Millisecond, 10 * time.Millisecond},
+		{80 * time.Millisecond, 14 * time.Millisecond},
+		{200 * time.Millisecond, 25 * time.Millisecond},
+		{800 * time.Millisecond, 100 * time.Millisecond},
+	} {
+		require.Equal(t, c.kept, returnTime(c.target), c.target)
+		if c.target/4 > way {
+			require.Greater(t, returnTime(c.target), way, c.target)
+		}
+		require.LessOrEqual(t, returnTime(c.target), c.target/4)
+	}
+}
