Edge nodes: a suspension counts for the deadlines of requests

Cause: requests go by Go's monotonic clock, which stands still while a machine is suspended; a request that was under way went on with the time that it had left before, and servers would be handed more than the caller waits. Change: RequestClock is set forward at the first tick after a suspension. Refusals have a latency series of their own.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -28,6 +28,8 @@
 	settings *Settings
 	clock    tier.Clock
 	onChange func(spread.Effects)
+	// onTick, if not nil, is called at each tick.
+	onTick func()
 
 	mu    sync.Mutex
 	state spread.State
@@ -153,6 +155,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
+			if g.onTick != nil {
+				g.onTick()
+			}
 			g.apply(false, func(now time.Duration, s *spread.State) { s.Tick(now) })
 		}
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -57,6 +57,8 @@
 	// LeaseClock is the clock for leases and for the control group; it must advance while the machine
 	// is suspended.
 	LeaseClock tier.Clock
+	// OnTick, if not nil, is called many times a second, and first after a suspension.
+	OnTick func()
 	// Stats records latencies and counters.
 	Stats *stats.Registry
 	// Names are the names of the platform's HTTP headers.
@@ -104,7 +106,7 @@
 	n.buildLimits()
 	n.catalog = &catalog{limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }}
 	n.catalog.start()
-	n.gossip = &gossip{settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged, currentChanged: make(chan struct{}, 1)}
+	n.gossip = &gossip{settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged, onTick: n.OnTick, currentChanged: make(chan struct{}, 1)}
 	if n.Certs == nil {
 		n.Certs = &conn.Certs{EphemeralName: n.Settings.ID}
 	}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -56,8 +56,10 @@
 	log.SetOutput(lines)
 	log.SetLevel(p.Level)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	clock := &RequestClock{Base: tier.NewClock(), Boot: BootClock{}}
+	clock.Update()
 	n := &Node{
-		Settings: s, Log: log, Clock: tier.NewClock(), LeaseClock: BootClock{}, Stats: stats.NewRegistry(), Names: p.Names, Decode: p.Decode, Certs: p.Certs,
+		Settings: s, Log: log, Clock: clock, LeaseClock: BootClock{}, OnTick: clock.Update, Stats: stats.NewRegistry(), Names: p.Names, Decode: p.Decode, Certs: p.Certs,
 		LinesDropped: lines.Dropped,
 	}
 	n.Build()
--- a/internal/reqst/trail.go
+++ b/internal/reqst/trail.go
@@ -104,6 +104,9 @@
 	failed := out.Status >= http.StatusInternalServerError || out.Status == http.StatusTooManyRequests
 	d.Stats.Latency("route", f.route.Name, now-f.attempts.start)
 	d.Stats.Count("requests", f.route.Name+"/"+strconv.Itoa(out.Status))
+	if out.Status == http.StatusServiceUnavailable {
+		d.Stats.Latency("refusal", f.route.Name, now-f.attempts.start)
+	}
 	if failed {
 		d.Stats.Count("requests_failed", f.route.Name+"/"+string(out.Reason))
 	}
