Restarted hosts: two comparisons are enough; a suspension is two seconds without a tick

Cause: a host was current once its records equalled another's. And 0.9 s without a tick also happens to a process that is only starved. Change: the second finished comparison counts too; the gap is 2 s, less than the time in which others rely on a change. DrainListener takes only a closed socket for the end of its connections, not a want of descriptors.

--- a/internal/conn/listener.go
+++ b/internal/conn/listener.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -67,7 +68,7 @@
 	if err == nil {
 		return l.track(c), nil
 	}
-	if l.endAccept() {
+	if errors.Is(err, net.ErrClosed) && l.endAccept() {
 		<-l.closed
 	}
 	return nil, err
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -100,13 +100,10 @@
 	}
 }
 
-// maxTickGap is the time without a tick after which a process was suspended.
-const maxTickGap = 900 * time.Millisecond
-
 // current reports whether the records are up to date. It is false right after a suspension, before the
 // first tick.
 func (g *gossip) current() bool {
-	return g.isCurrent.Load() && int64(g.clock.Now())-g.lastApplied.Load() < int64(maxTickGap)
+	return g.isCurrent.Load() && int64(g.clock.Now())-g.lastApplied.Load() < int64(spread.SuspendedAfter)
 }
 
 func (g *gossip) send(s *spread.Send) {
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -34,11 +34,20 @@
 	}
 	s.compareDigests(now, p)
 	if p.Last && !s.synced {
-		// Packets overtake each other: another probe shows whether all records have arrived.
-		s.sendProbe(now, p.From)
+		s.compared(now, p.From)
 	}
 }
 
+// compared handles the end of a comparison with a host. Packets overtake each other, so that records of
+// the first comparison may still be under way; the second one names those that were lost.
+func (s *State) compared(now time.Duration, id tier.NodeID) {
+	if s.comparisons++; s.comparisons >= syncComparisons {
+		s.synced = true
+		return
+	}
+	s.sendProbe(now, id)
+}
+
 func (s *State) closeProbe(id tier.NodeID) {
 	if pr := s.probes[id]; pr != nil {
 		pr.open = false
@@ -130,7 +139,9 @@
 func (s *State) Tick(now time.Duration) {
 	if gap := now - s.lastTick; gap > hostTimeout {
 		s.extendTimers(gap)
-		s.syncStarted, s.synced = now, false
+		if gap > SuspendedAfter {
+			s.syncStarted, s.synced, s.comparisons = now, false, 0
+		}
 	}
 	s.lastTick = now
 	s.join(now)
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -39,9 +39,15 @@
 	// minCompareInterval is the minimum time between two digest comparisons with the same peer, so that the records
 	// sent by the previous one have arrived.
 	minCompareInterval = 150 * time.Millisecond
+	// SuspendedAfter is the time without a tick after which a host counts as suspended and no longer knows
+	// what was withdrawn: shorter than the time in which others rely on a change that it missed.
+	SuspendedAfter = 2 * time.Second
 	// syncTimeout is how long a host that has started or was suspended waits for the records of another
 	// one before it relies on its own.
 	syncTimeout = time.Second
+	// syncComparisons is the number of comparisons after which a host's records are current even if new
+	// changes keep them different from the other's.
+	syncComparisons = 2
 	// introductionPeriod is how long after its start or a suspension a host adds its own record to every probe. Such a probe is
 	// answered with a digest without delay, as the new host may still lack most records.
 	introductionPeriod = 3 * time.Second
@@ -119,6 +125,7 @@
 	// routing table that others have named.
 	syncStarted time.Duration
 	synced      bool
+	comparisons int
 	heardRoutes vers.RoutesVersion
 	// ringCache is the hash ring of the live hosts; nil after a change, until it is needed again.
 	ringCache      []tier.NodeID
