--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -39,9 +39,15 @@
 }
 
 // compared handles the end of a comparison with a host. Packets overtake each other, so that records of
-// the first comparison may still be under way; the second one names those that were lost.
+// a comparison may still be under way at its end; a later one with the same host names those that were
+// lost.
 func (s *State) compared(now time.Duration, id tier.NodeID) {
-	if s.comparisons++; s.comparisons >= syncComparisons {
+	switch {
+	case s.syncPeer == "":
+		s.syncPeer, s.firstCompared = id, now
+	case s.syncPeer != id:
+		return
+	case now-s.firstCompared >= syncSettleTime:
 		s.synced = true
 		return
 	}
@@ -88,6 +94,9 @@
 	}
 	if p.Digest == nil || *p.Digest == local {
 		s.synced = s.synced || p.Reply != 0
+		if p.Digest != nil && p.Reply == 0 {
+			s.send(p.From, Packet{Last: true})
+		}
 		return
 	}
 	if p.Reply != 0 {
@@ -140,7 +149,7 @@
 	if gap := now - s.lastTick; gap > hostTimeout {
 		s.extendTimers(gap)
 		if gap > SuspendedAfter {
-			s.syncStarted, s.synced, s.comparisons = now, false, 0
+			s.syncStarted, s.synced, s.syncPeer = now, false, ""
 		}
 	}
 	s.lastTick = now
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -45,9 +45,9 @@
 	// syncTimeout is how long a host that has started or was suspended waits for the records of another
 	// one before it relies on its own.
 	syncTimeout = time.Second
-	// syncComparisons is the number of comparisons after which a host's records are current even if new
-	// changes keep them different from the other's.
-	syncComparisons = 2
+	// syncSettleTime is the time between the ends of two comparisons with the same host after which a
+	// host's records are current even if new changes keep them different from the other's.
+	syncSettleTime = 100 * time.Millisecond
 	// introductionPeriod is how long after its start or a suspension a host adds its own record to every probe. Such a probe is
 	// answered with a digest without delay, as the new host may still lack most records.
 	introductionPeriod = 3 * time.Second
@@ -125,8 +125,10 @@
 	// routing table that others have named.
 	syncStarted time.Duration
 	synced      bool
-	comparisons int
-	heardRoutes vers.RoutesVersion
+	// syncPeer is the first host with which a comparison has ended since, at firstCompared.
+	syncPeer      tier.NodeID
+	firstCompared time.Duration
+	heardRoutes   vers.RoutesVersion
 	// ringCache is the hash ring of the live hosts; nil after a change, until it is needed again.
 	ringCache      []tier.NodeID
 	changedServers []tier.ServerID
