Searches: a request is not called not run while servers may run its parts

Cause: a search ends at once when too many shards refuse it. The parts of the other shards were open then, no reply had come from them, and the answer was 503, which promises that nothing has run or will. Measured: TestRequestWithOpenPartsMayHaveRun failed (said not run) and passes.

--- a/internal/reqst/door_plan_test.go
+++ b/internal/reqst/door_plan_test.go
@@ -178,6 +178,30 @@
 	require.False(t, p.Covered())
 }
 
+// TestRequestWithOpenPartsMayHaveRun ends a request because servers of too many shards refused it while
+// others have not answered: those may run it, so it must not be called not run. Once all have refused,
+// it may.
+func TestRequestWithOpenPartsMayHaveRun(t *testing.T) {
+	refused := conn.Reply{Result: conn.ResultNotRun, Reason: tier.ReasonShed}
+	for _, c := range []struct {
+		name    string
+		refused int
+		ran     bool
+	}{{"others are open", 2, true}, {"all have refused", 3, false}} {
+		p := forwardPlan(3, PlanOptions{Deadline: time.Second, Timeout: time.Second, MaxAttempts: 1, MinShards: 2})
+		p.Retry = func(int) bool { return false }
+		acts := p.Start(0)
+		if !c.ran {
+			p.Options.MinShards = 0
+		}
+		replyToSends(p, 5*ms, acts[:c.refused], refused)
+		require.True(t, p.Finished(), c.name)
+		require.False(t, p.Covered(), c.name)
+		require.Equal(t, c.ran, p.Ran(), c.name)
+		require.Equal(t, c.ran, p.Answer().Outcome != tier.NotRun, c.name)
+	}
+}
+
 // TestShardThatShedsIsNotHedged checks that no second request is sent to servers that are
 // full.
 func TestShardThatShedsIsNotHedged(t *testing.T) {
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -400,8 +400,11 @@
 // Covered reports whether the answer has the required number of shards.
 func (p *Plan) Covered() bool { return p.done > 0 && p.done >= p.Options.MinShards }
 
-// Ran reports whether a server may have run a part.
-func (p *Plan) Ran() bool { return p.ran }
+// Ran reports whether a server may have run a part. Once the plan has finished, that includes the
+// servers that have not answered: they may run it yet.
+func (p *Plan) Ran() bool {
+	return p.ran || (p.finished && slices.ContainsFunc(p.attempts, func(a attempt) bool { return a.open }))
+}
 
 // CoveredParts returns the signatures and data of the answered shards, in shard order, and
 // the number of unanswered ones.
@@ -451,7 +454,7 @@
 	if len(a.Missing) > 0 {
 		a.Outcome, a.Reason = tier.Partial, a.Missing[0].Reason
 	}
-	if !p.ran {
+	if !p.Ran() {
 		a.Outcome = tier.NotRun
 	}
 	return a
