--- a/internal/cmdln/losses.go
+++ b/internal/cmdln/losses.go
@@ -16,6 +16,8 @@
 	maxLossServers = 3
 	// causeSlow is the cause of a sub-request that was answered, but much later than usual.
 	causeSlow = "slow"
+	// causeUnknown is the cause of a sub-request whose text cannot be read.
+	causeUnknown = "unknown"
 )
 
 // Results of requests in the table of losses.
@@ -146,7 +148,7 @@
 	const fields = 5
 	f := strings.Fields(text)
 	if len(f) < fields {
-		return "", causeSlow
+		return "", causeUnknown
 	}
 	cause = causeSlow
 	if last := f[len(f)-1]; len(f) > fields && last != "hedge" {
--- a/internal/conn/copies_test.go
+++ b/internal/conn/copies_test.go
@@ -139,3 +139,36 @@
 		require.Empty(t, l.idle.list, "%s: a connection that carried an answer to another request is closed", c.name)
 	}
 }
+
+// TestServerThatDiesInTheMiddleOfAHeadIsDead has a server break off in a header line and stop
+// listening: the answer is malformed, and the death is noticed.
+func TestServerThatDiesInTheMiddleOfAHeadIsDead(t *testing.T) {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := n.Accept()
+		if err != nil {
+			return
+		}
+		takeRequest(c)
+		_ = n.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Requ")
+		_ = c.Close()
+	}()
+	deaths := 0
+	o := &Owner{
+		Clock: tier.NewClock(), MaySend: func(tier.ServerID) bool { return true }, Limits: DefaultAnswerLimits(),
+		Settings: func(tier.Service, tier.ServerID) Settings {
+			return Settings{MaxQueue: 1, SilenceTimeout: 10 * time.Second}
+		},
+		OnDeath:    func(Death) { deaths++ },
+		OnSilent:   func(tier.ServerID, tier.RequestID) {},
+		OnRejected: func(tier.ServerID, tier.RequestID, tier.Reason) {},
+	}
+	o.Update(map[tier.ServerID]tier.Announcement{"s1": {Server: "s1", Instance: 1, Address: n.Addr().String(), Slots: 1, Conns: 1}}, func(tier.Announcement) bool { return false })
+	rep := o.Query(context.Background(), &Batch{Request: "id", Body: []byte(`1`)}, Sub{Server: "s1"}, o.Clock.Now()+10*time.Second)
+	require.Equal(t, ResultFailed, rep.Result)
+	require.Equal(t, tier.ReasonTruncated, rep.Reason)
+	require.True(t, rep.Died)
+	require.Equal(t, 1, deaths)
+}
--- a/internal/conn/listener_test.go
+++ b/internal/conn/listener_test.go
@@ -130,9 +130,8 @@
 	}
 }
 
-// TestStopUnderLoadCutsNothingOff has callers open a connection for each request, and others keep
-// theirs, while the server stops: a request on an established connection is answered, or its
-// connection was idle and is closed before any byte of the request was read.
+// TestStopUnderLoadCutsNothingOff has callers open a connection for each request while the server
+// stops: each request on an established connection is answered.
 func TestStopUnderLoadCutsNothingOff(t *testing.T) {
 	for range 3 {
 		srv, l, ended := drainServer(t, nil, nil)
--- a/internal/conn/search.go
+++ b/internal/conn/search.go
@@ -125,7 +125,13 @@
 	case errors.Is(err, ErrNoRoom):
 		p.release(t, false)
 		rep.fail(tier.ReasonNoRoom)
-	case errors.Is(err, errTruncated), errors.Is(err, ErrMalformed):
+	case errors.Is(err, ErrMalformed):
+		// A server that dies in the middle of a head leaves a malformed one.
+		rep.Died = o.handleBroken(ctx, p)
+		p.release(t, false)
+		rep.fail(tier.ReasonTruncated)
+		o.OnRejected(p.server.Server, b.Request, tier.ReasonTruncated)
+	case errors.Is(err, errTruncated):
 		p.release(t, false)
 		rep.fail(tier.ReasonTruncated)
 		o.OnRejected(p.server.Server, b.Request, tier.ReasonTruncated)
--- a/internal/conn/write.go
+++ b/internal/conn/write.go
@@ -54,6 +54,7 @@
 		p.release(t, false)
 		rep.fail(tier.ReasonNoRoom)
 	case errors.Is(err, errTruncated), errors.Is(err, ErrMalformed):
+		rep.Died = o.handleBroken(wctx, p)
 		p.release(t, false)
 		rep.fail(tier.ReasonTruncated)
 		o.OnRejected(w.Server, w.Request, tier.ReasonTruncated)
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -30,10 +30,10 @@
 	}
 	defer room.Release()
 	out := n.forwarder.Forward(r.Context(), in)
-	n.respond(w, out)
 	if out.Release != nil {
-		out.Release()
+		defer out.Release()
 	}
+	n.respond(w, out)
 }
 
 // readRequest reads a request with its whole body; room is what the body takes in the node's budget.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -57,7 +57,8 @@
 	// LeaseClock is the clock for leases and for the control group; it must advance while the machine
 	// is suspended.
 	LeaseClock tier.Clock
-	// OnTick, if not nil, is called many times a second, and first after a suspension.
+	// OnTick, if not nil, is called at each tick of the membership, before anything else when the process
+	// resumes after a suspension.
 	OnTick func()
 	// Stats records latencies and counters.
 	Stats *stats.Registry
