--- a/internal/conn/listener.go
+++ b/internal/conn/listener.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,7 +31,7 @@
 // mu, then a connection's mu.
 type DrainListener struct {
 	// base is the listening socket; inner accepts from it, possibly with a limit of connections.
-	base  *net.TCPListener
+	base  *recordingListener
 	inner net.Listener
 
 	mu       sync.Mutex
@@ -53,7 +52,7 @@
 	if err != nil {
 		return nil, tier.At("listen", address, err)
 	}
-	base := sock.(*net.TCPListener)
+	base := &recordingListener{TCPListener: sock.(*net.TCPListener)}
 	l := &DrainListener{base: base, inner: base, closed: make(chan struct{}), conns: map[*drainConn]bool{}}
 	if limit != nil {
 		l.inner = limit(base)
@@ -83,7 +82,7 @@
 }
 
 func (l *DrainListener) track(c net.Conn) net.Conn {
-	d := &drainConn{Conn: c, listener: l}
+	d := &drainConn{Conn: c, sock: l.base.last, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[d] = true
@@ -195,9 +194,27 @@
 	}
 }
 
-// drainConn is a connection of a DrainListener.
+// recordingListener keeps the socket of the last connection, which a listener with a limit hides. Only
+// one goroutine accepts.
+type recordingListener struct {
+	*net.TCPListener
+	last *net.TCPConn
+}
+
+// Accept returns the next connection.
+func (l *recordingListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	l.last = c
+	return c, nil
+}
+
+// drainConn is a connection of a DrainListener; sock is its socket.
 type drainConn struct {
 	net.Conn
+	sock     *net.TCPConn
 	listener *DrainListener
 
 	mu    sync.Mutex
@@ -220,12 +237,7 @@
 
 // CloseWrite ends the sending side: http.Server waits after it, so that an answer to a request that it
 // has not read to the end is not lost by a reset.
-func (c *drainConn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return w.CloseWrite()
-	}
-	return nil
-}
+func (c *drainConn) CloseWrite() error { return c.sock.CloseWrite() }
 
 func (c *drainConn) setState(s http.ConnState) {
 	c.mu.Lock()
@@ -241,7 +253,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waiting := c.state == http.StateIdle || (alsoNew && c.state == http.StateNew)
-	return waiting && !c.arrived && !hasPending(c.Conn)
+	return waiting && !c.arrived && !hasPending(c.sock)
 }
 
 // Close closes the connection. While the listener drains, the first Close of an idle connection on
@@ -261,7 +273,7 @@
 func (c *drainConn) keep() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.kept || c.state != http.StateIdle || (!c.arrived && !hasPending(c.Conn)) {
+	if c.kept || c.state != http.StateIdle || (!c.arrived && !hasPending(c.sock)) {
 		return false
 	}
 	c.kept = true
@@ -270,12 +282,8 @@
 
 // hasPending reports whether bytes have arrived on a connection that nobody has read. Unlike
 // isReusable it does not wait for a concurrent read.
-func hasPending(c net.Conn) bool {
-	t, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := t.SyscallConn()
+func hasPending(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/conn/listener_test.go
+++ b/internal/conn/listener_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/netutil"
 )
 
 // gatedListener holds back Accept while the gate is closed, like a process that is busy.
@@ -187,3 +188,26 @@
 	require.NoError(t, c.Close())
 	require.ErrorIs(t, <-ended, http.ErrServerClosed)
 }
+
+// TestLimitedListenerSeesUnreadBytes has a listener with a limit of connections, which wraps them: a
+// request that has arrived and that nobody has read keeps its connection from counting as unused.
+func TestLimitedListenerSeesUnreadBytes(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", func(base net.Listener) net.Listener { return netutil.LimitListener(base, 2) })
+	require.NoError(t, err)
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	l.ConnState(accepted, http.StateIdle)
+	d := accepted.(*drainConn)
+	require.True(t, d.unused(false))
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+	require.NoError(t, err)
+	eventually(t, func() bool { return !d.unused(false) })
+	require.NoError(t, d.CloseWrite())
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, accepted.Close())
+	require.NoError(t, c.Close())
+	require.NoError(t, l.Close())
+}
--- a/internal/conn/search.go
+++ b/internal/conn/search.go
@@ -128,13 +128,9 @@
 	case errors.Is(err, ErrMalformed):
 		// A server that dies in the middle of a head leaves a malformed one.
 		rep.Died = o.handleBroken(ctx, p)
-		p.release(t, false)
-		rep.fail(tier.ReasonTruncated)
-		o.OnRejected(p.server.Server, b.Request, tier.ReasonTruncated)
+		o.reject(p, t, b.Request, rep)
 	case errors.Is(err, errTruncated):
-		p.release(t, false)
-		rep.fail(tier.ReasonTruncated)
-		o.OnRejected(p.server.Server, b.Request, tier.ReasonTruncated)
+		o.reject(p, t, b.Request, rep)
 	case neverReached(err):
 		p.release(t, false)
 		rep.Result, rep.Reason = ResultNotRun, tier.ReasonLost
@@ -145,6 +141,13 @@
 	}
 }
 
+// reject ends a sub-request whose answer is malformed or truncated.
+func (o *Owner) reject(p *Pool, t *Ticket, id tier.RequestID, rep *Reply) {
+	p.release(t, false)
+	rep.fail(tier.ReasonTruncated)
+	o.OnRejected(p.server.Server, id, tier.ReasonTruncated)
+}
+
 // handleSilence reports a silent connection and closes the idle ones: if the state of one
 // connection was lost, the state of the others may be lost too.
 func (o *Owner) handleSilence(p *Pool, id tier.RequestID) {
--- a/internal/conn/write.go
+++ b/internal/conn/write.go
@@ -55,9 +55,7 @@
 		rep.fail(tier.ReasonNoRoom)
 	case errors.Is(err, errTruncated), errors.Is(err, ErrMalformed):
 		rep.Died = o.handleBroken(wctx, p)
-		p.release(t, false)
-		rep.fail(tier.ReasonTruncated)
-		o.OnRejected(w.Server, w.Request, tier.ReasonTruncated)
+		o.reject(p, t, w.Request, rep)
 	case errors.Is(err, context.DeadlineExceeded):
 		p.releaseLater(t)
 		rep.fail(tier.ReasonLost)
--- a/internal/edge/clock.go
+++ b/internal/edge/clock.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,9 +34,9 @@
 	Base, Boot tier.Clock
 
 	ahead atomic.Int64
-	// start is what Boot was ahead of Base at first.
+	// start is what Boot was ahead of Base at the first Update.
 	start   time.Duration
-	started sync.Once
+	started bool
 }
 
 // Now returns the time, with suspensions up to the last Update.
@@ -47,7 +46,9 @@
 // concurrently.
 func (c *RequestClock) Update() {
 	gap := c.Boot.Now() - c.Base.Now()
-	c.started.Do(func() { c.start = gap })
+	if !c.started {
+		c.started, c.start = true, gap
+	}
 	if missed := gap - c.start - time.Duration(c.ahead.Load()); missed > maxClockGap {
 		c.ahead.Add(int64(missed))
 	}
