Edge nodes: events on servers' limits and on the requests that each host sends to a limited server

Cause: neither logs nor metrics showed what limit a server named or what a host sent it, so the hypotheses of the incident could not be told apart. Change: the limit header is read and recorded per server (package terms); events 312 and 313. No decision uses it.

--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -85,6 +85,8 @@
 	WriteUnknown        = Event{308, logrus.WarnLevel, "write outcome unknown", "It is unknown whether the server executed the write. Fields: account, service, claim, server, reason."}
 	RequestServed       = Event{310, logrus.InfoLevel, "request served", "Logged for one in 256 successful requests, chosen by the request's ID, and for successful requests that were late. Fields: request, route, table (routing table version), status, reason, took_ms, left_ms (time left until the deadline), base_ms (usual duration of a sub-request), late, parts (shards answered), missing (shards not answered), behind (shards expected to be late because all their servers had long queues when the request arrived), hedges, tries (slow, open or failed sub-requests: shard, server, send time, duration, reason of failure)."}
 	RequestFailed       = Event{311, logrus.WarnLevel, "request failed", "Fields as in 310. Together with the late requests of 310, limited to 20 events per second on each node."}
+	ServerLimitChanged  = Event{312, logrus.InfoLevel, "server limit changed", "A server named a limit on the requests of all hosts, or names none any more. Fields: server, limited, limit (requests per second)."}
+	ServerLimited       = Event{313, logrus.InfoLevel, "requests to a limited server", "Logged at most every 4 s for each server that names a limit. Fields: server, limit (requests per second of all hosts), over_ms (the time that is counted), first, hedges, retries (sub-requests that this node sent in that time)."}
 	RecordFailed        = Event{309, logrus.WarnLevel, "write record failed", "The outcome could not be recorded in time; a resend of the write gets the outcome unknown. Fields: claim."}
 )
 
@@ -94,4 +96,5 @@
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
 	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
+	ServerLimitChanged, ServerLimited,
 }
--- /dev/null
+++ b/internal/proc/terms/statement.go
@@ -0,0 +1,43 @@
+// Package terms keeps what servers state in their answers about the requests that they accept. A statement binds every
+// host of the fleet, but each host receives only the answers to its own requests. The package does no I/O, takes the time
+// from its caller, and is not safe for concurrent use.
+package terms
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Rate is a number of requests per second.
+type Rate float64
+
+// Validity tells how a header of an answer is to be understood.
+type Validity uint8
+
+// A header is absent, malformed, or states a value.
+const (
+	Absent Validity = iota
+	Malformed
+	Stated
+)
+
+// Statement is what one answer of a server states.
+type Statement struct {
+	// LimitState tells whether the answer names a limit; Limit is the rate that the server accepts from all hosts together.
+	LimitState Validity
+	Limit      Rate
+}
+
+// ParseLimit parses the value of a limit header: a decimal number that is not negative.
+func ParseLimit(s string) (Rate, Validity) {
+	s = strings.TrimSpace(s)
+	if s == "" {
+		return 0, Absent
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0, Malformed
+	}
+	return Rate(v), Stated
+}
--- /dev/null
+++ b/internal/proc/terms/statement_test.go
@@ -0,0 +1,32 @@
+package terms
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestParseLimit(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		limit Rate
+		state Validity
+	}{
+		{"", 0, Absent},
+		{"  ", 0, Absent},
+		{"27.5", 27.5, Stated},
+		{" 5 ", 5, Stated},
+		{"0", 0, Stated},
+		{"0.25", 0.25, Stated},
+		{"1e9", 1e9, Stated},
+		{"-1", 0, Malformed},
+		{"NaN", 0, Malformed},
+		{"inf", 0, Malformed},
+		{"1e999", 0, Malformed},
+		{"5/s", 0, Malformed},
+	} {
+		limit, state := ParseLimit(c.text)
+		require.Equal(t, c.state, state, c.text)
+		require.InDelta(t, float64(c.limit), float64(limit), 1e-9, c.text)
+	}
+}
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -61,6 +61,7 @@
 	ratio := float64(took) / float64(a.kind.Base)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordStatement(now, id, rep.answer.Header)
 	b := d.Board
 	b.RecordEnded(id)
 	if answered := rep.Result == conn.ResultDone; answered || rep.Reason == tier.ReasonCanceled {
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -13,6 +13,7 @@
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -104,6 +105,7 @@
 	started        time.Duration
 	failureLog     failureLimit
 	suspects       Suspects
+	terms          terms.Table
 	base           context.Context
 	open           atomic.Int64
 	served         atomic.Int64
@@ -124,13 +126,16 @@
 	d.latencyMedians = map[string]*pace.Median{}
 	d.started, d.minShare = d.Clock.Now(), WindowMin{Window: d.Budget.Window}
 	d.Board.Start()
+	d.terms.Start()
 }
 
 // ForgetGone drops the observations of servers that are in the directory no more.
 func (d *Forwarder) ForgetGone() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.Board.Forget(func(id tier.ServerID) bool { return d.Directory.Direct(id) != nil })
+	known := func(id tier.ServerID) bool { return d.Directory.Direct(id) != nil }
+	d.Board.Forget(known)
+	d.terms.Forget(known)
 }
 
 // Served returns the number of requests received since the start.
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -294,6 +294,7 @@
 	d := f.forwarder
 	d.mu.Lock()
 	d.Board.RecordSent(a.Server)
+	d.terms.RecordSent(a.Server, purpose(a))
 	d.mu.Unlock()
 	f.attempts.sent(now, a)
 	ctx, cancel := context.WithCancel(d.base)
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -68,6 +68,8 @@
 	Server  tier.ServerID
 	Solo    bool
 	Hedge   bool
+	// Repeat is set if the shard has been sent before, hedges included.
+	Repeat bool
 	// Careful requires a connection that the server is known to have accepted.
 	Careful bool
 	Cause   Cause
@@ -87,6 +89,7 @@
 	done    bool
 	held    bool
 	missing bool
+	sent    bool
 	reason  tier.Reason
 	open    int
 	sentAt  time.Duration
@@ -213,6 +216,8 @@
 		return false
 	}
 	id := list[i].Server
+	repeat := pt.sent
+	pt.sent = true
 	pt.tried = append(pt.tried, id)
 	pt.open++
 	pt.counted++
@@ -221,7 +226,7 @@
 	}
 	p.scheduleWake(pt, now)
 	p.attempts = append(p.attempts, attempt{shard: shard, server: id, sent: now, hedge: hedge, open: true})
-	p.actions = append(p.actions, Action{Kind: ActSend, Attempt: len(p.attempts) - 1, Shard: tier.Shard(shard), Server: id, Solo: solo, Hedge: hedge, Careful: pt.careful})
+	p.actions = append(p.actions, Action{Kind: ActSend, Attempt: len(p.attempts) - 1, Shard: tier.Shard(shard), Server: id, Solo: solo, Hedge: hedge, Repeat: repeat, Careful: pt.careful})
 	return true
 }
 
--- a/pkg/tier/headers.go
+++ b/pkg/tier/headers.go
@@ -22,12 +22,14 @@
 	// Load is a server's load: running requests, waiting requests, slots and, on some platforms, the duration of work
 	// in percent of the usual duration.
 	Load string
+	// Limit is the number of requests per second that a server accepts from all hosts together.
+	Limit string
 }
 
 // DefaultHeaders returns the product's own header names.
 func DefaultHeaders() HeaderNames {
 	return HeaderNames{
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Expect: "X-Expect-Server", Server: HeaderServer,
-		Missing: "X-Missing-Parts", NotRun: HeaderNotRun, Load: HeaderLoad,
+		Missing: "X-Missing-Parts", NotRun: HeaderNotRun, Load: HeaderLoad, Limit: HeaderLimit,
 	}
 }
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -162,5 +162,6 @@
 	HeaderClaim     = "X-Claim-Id"
 	HeaderNotRun    = "X-Not-Run"
 	HeaderLoad      = "X-Load"
+	HeaderLimit     = "X-Server-Limit"
 	HeaderServer    = "X-Server"
 )
