Edge nodes: the hosts of a fleet share the limit that a server names

Seen: servers that named Server-Limit went on getting what they got before, 220 to 309 requests in 4 s where 158 to 217 are allowed; callers noticed nothing. Cause: nothing read the header. Change: each host paces its requests to its share of the limit (busy hosts, four times as much in the server's own zone; the shares add up to one; hosts that are down for less than a minute keep theirs, as they may be cut off only from this one). Permits that nobody uses expire after half a second, so idle hosts do not burst together. First sub-requests, hedges and retries count alike. The host that hears first tells the others (Notice); a limit that nobody hears of for 15 s ends; after its end the rate doubles every second for 4 s. Malformed values change nothing, limits below one request in 4 s are tried at that rate, an older start of the server is ignored. When no server of a shard accepts a request, the shard is missing at once, and a request that can't be served is refused with the time of the next permit (reason server_limit). Evidence: without Board.Allowed TestServerGetsMoreThanItsLimit sees 290 requests in a window for 176 allowed, TestLimitBelowDemandRefusesAtOnce no refusal, TestLoadReturnsInStepsAfterALimit the whole load at once; all pass with it, also with 300 hosts and a limit of 5, with 0.5 and with 0.

--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -36,6 +36,8 @@
 	Address string
 	// Server is the ID that the server must have.
 	Server tier.ServerID
+	// Born is the start of the server in Unix milliseconds, as it announced it.
+	Born int64
 	// Limits bounds answers; nil means DefaultAnswerLimits.
 	Limits *AnswerLimits
 	// OnDial, if not nil, is called after each new connection is established.
--- a/internal/edge/catalog.go
+++ b/internal/edge/catalog.go
@@ -121,7 +121,7 @@
 	if old != nil {
 		closing = append(closing, old.direct)
 	}
-	c.targets.Store(id, &target{rec: r, direct: &conn.Direct{Address: r.Address, Server: id, OnDial: c.onDial, Limits: c.limits}})
+	c.targets.Store(id, &target{rec: r, direct: &conn.Direct{Address: r.Address, Server: id, Born: r.Born, OnDial: c.onDial, Limits: c.limits}})
 	return closing
 }
 
@@ -196,6 +196,14 @@
 	return ""
 }
 
+// zone returns the zone of a server, or "" if the server is not in the catalog.
+func (c *catalog) zone(id tier.ServerID) tier.Zone {
+	if t := c.target(id); t != nil {
+		return t.rec.Zone
+	}
+	return ""
+}
+
 // closeExpired closes connections that have been idle for too long.
 func (c *catalog) closeExpired(now time.Time) {
 	c.targets.Range(func(_, t any) bool {
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -39,6 +39,9 @@
 	// cachedCounts is recomputed whenever hosts changes, as it is read for every choice of a
 	// server.
 	cachedCounts atomic.Pointer[hostCounts]
+	// rates computes cachedShares from the list of hosts; it is guarded by mu.
+	rates        rateSharers
+	cachedShares atomic.Pointer[rateShares]
 	// isCurrent is State.Current at lastApplied, a time of clock; currentChanged is signalled when it
 	// changes.
 	isCurrent      atomic.Bool
@@ -84,11 +87,13 @@
 		g.hosts.Store(&list)
 		c := g.countHosts(list)
 		g.cachedCounts.Store(&c)
+		shares := g.rates.update(now, g.settings.ID, list)
+		g.cachedShares.Store(&shares)
 	}
 	for i := range eff.Sends {
 		g.send(&eff.Sends[i])
 	}
-	if len(eff.Servers) > 0 || eff.Hosts || eff.NewerRoutesPeer != "" || len(eff.Faults) > 0 {
+	if len(eff.Servers) > 0 || eff.Hosts || eff.NewerRoutesPeer != "" || len(eff.Faults) > 0 || len(eff.Notices) > 0 {
 		g.onChange(eff)
 	}
 	g.lastApplied.Store(int64(now))
@@ -176,6 +181,14 @@
 	return hostCounts{others: 1}
 }
 
+// limitShares returns the shares of the hosts in servers' limits.
+func (g *gossip) limitShares() *rateShares {
+	if s := g.cachedShares.Load(); s != nil {
+		return s
+	}
+	return &rateShares{}
+}
+
 // countHosts counts the live hosts, including this one.
 func (g *gossip) countHosts(list []spread.Host) (c hostCounts) {
 	for i := range list {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -17,6 +17,7 @@
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -125,6 +126,7 @@
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
+		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice,
 	}
 }
 
@@ -180,6 +182,9 @@
 	for _, f := range eff.Faults {
 		n.forwarder.Blame(f.Fingerprint, f.Server)
 	}
+	for _, t := range eff.Notices {
+		n.forwarder.ReceiveNotice(t)
+	}
 	if eff.NewerRoutesPeer != "" {
 		n.fetchRoutes(n.ctx, eff.NewerRoutesPeer)
 	}
@@ -194,6 +199,18 @@
 	})
 }
 
+// sendNotice tells the fleet what a server stated to this node.
+func (n *Node) sendNotice(t terms.Notice) {
+	n.workers.Go(func() {
+		n.gossip.withState(func(now time.Duration, s *spread.State) { s.SendNotice(now, t) })
+	})
+}
+
+// limitShare returns this node's share of the limit that a server names.
+func (n *Node) limitShare(id tier.ServerID) float64 {
+	return n.gossip.limitShares().share(n.catalog.zone(id))
+}
+
 // Run serves until ctx ends, which stops the node immediately, or until Stop was called and the
 // node has drained. The actors run alongside it.
 func (n *Node) Run(ctx context.Context, actors ...func(context.Context) error) error {
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -125,6 +125,7 @@
 	set := n.Stats.Gauge
 	set("requests_open", "", float64(n.forwarder.Open()))
 	set("bodies_held_bytes", "", float64(n.budget.Held()))
+	set("servers_limited", "", float64(n.forwarder.LimitedServers()))
 	set("routes_version", "", float64(n.routesVersion()))
 	if n.LinesDropped != nil {
 		set("log_lines_unwritten", "", float64(n.LinesDropped()))
--- a/internal/proc/pace/pace.go
+++ b/internal/proc/pace/pace.go
@@ -75,6 +75,8 @@
 	Zone tier.Zone
 	// Limit returns the maximum number of connections from this node to a server; nil means no limit.
 	Limit func(tier.ServerID) int
+	// Allowed reports whether a request may be sent to a server now; nil means always.
+	Allowed func(now time.Duration, id tier.ServerID) bool
 
 	servers map[tier.ServerID]*server
 	pauses  pauses
@@ -238,10 +240,13 @@
 	return time.Duration(cost)
 }
 
-// Pick returns the index of the candidate with the lowest cost, or -1 if there are no candidates.
+// Pick returns the index of the allowed candidate with the lowest cost, or -1 if there is none.
 func (b *Board) Pick(now time.Duration, k Timing, candidates []tier.Candidate) int {
 	best, lowestCost := -1, time.Duration(math.MaxInt64)
 	for i, c := range candidates {
+		if b.Allowed != nil && !b.Allowed(now, c.Server) {
+			continue
+		}
 		if cost := b.Cost(now, k, c); cost < lowestCost {
 			best, lowestCost = i, cost
 		}
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -29,6 +29,7 @@
 		s.putServer(now, p.Servers[i])
 	}
 	s.effects.Faults = append(s.effects.Faults, p.Faults...)
+	s.effects.Notices = append(s.effects.Notices, p.Notices...)
 	if p.Number != 0 {
 		s.send(p.From, Packet{Ack: p.Number})
 	}
--- a/internal/proc/spread/packet.go
+++ b/internal/proc/spread/packet.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -27,6 +28,8 @@
 	Faults []Fault `cbor:"12,keyasint,omitempty"`
 	// Last marks the end of the records that answer a digest.
 	Last bool `cbor:"13,keyasint,omitempty"`
+	// Notices tell what servers stated to the sender.
+	Notices []terms.Notice `cbor:"14,keyasint,omitempty"`
 }
 
 // Fault reports that a server failed while it ran a request.
@@ -50,6 +53,7 @@
 	Hosts bool
 	// NewerRoutesPeer is a peer that has a newer routing table; empty if none does.
 	NewerRoutesPeer tier.NodeID
-	// Faults were received from other nodes.
-	Faults []Fault
+	// Faults and Notices were received from other nodes.
+	Faults  []Fault
+	Notices []terms.Notice
 }
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -367,6 +368,13 @@
 	s.flush(now)
 }
 
+// SendNotice tells all hosts what a server stated.
+func (s *State) SendNotice(now time.Duration, n terms.Notice) {
+	for _, id := range s.peers() {
+		s.push(now, id, Packet{Notices: []terms.Notice{n}})
+	}
+}
+
 // peers returns the other hosts that are not down, sorted by id.
 func (s *State) peers() []tier.NodeID {
 	out := make([]tier.NodeID, 0, len(s.hosts))
--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -1,13 +1,34 @@
 package terms
 
 import (
+	"math"
 	"time"
 
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
-// reportInterval is the interval of the reports on the requests to a server with a limit.
-const reportInterval = 4 * time.Second
+const (
+	// reportInterval is the interval of the reports on the requests to a server with a limit.
+	reportInterval = 4 * time.Second
+	// noticeInterval is the interval at which the fleet is told again of a limit that has not changed.
+	noticeInterval = 5 * time.Second
+	// limitTTL is how long a limit counts after the last answer that any host has reported: three notices.
+	limitTTL = 3 * noticeInterval
+	// reorderWindow is the time by which answers of one server may overtake each other. An answer without a limit ends the
+	// limit only if none has named it for this time.
+	reorderWindow = 500 * time.Millisecond
+	// easingTime is the time after the end of a limit in which the rate doubles every second, so that the load does not
+	// come back at once. minEasingRate is the least rate from which it starts.
+	easingTime         = 4 * time.Second
+	minEasingRate Rate = 1
+	// minRate is the rate at which a server is still sent requests if its limit is lower: otherwise no answer could raise
+	// the limit.
+	minRate Rate = 0.25
+	// changeTolerance is the relative change of a limit of which the fleet is told at once.
+	changeTolerance = 0.1
+	// maxWait bounds the time until a permit that is told to callers.
+	maxWait = time.Minute
+)
 
 // Purpose is why a sub-request is sent.
 type Purpose uint8
@@ -23,16 +44,41 @@
 // Sent holds numbers of sub-requests by purpose.
 type Sent [purposes]int
 
+// Notice tells other hosts what a server stated.
+type Notice struct {
+	Server tier.ServerID `cbor:"1,keyasint"`
+	// Born is the start of the server in Unix milliseconds.
+	Born int64 `cbor:"2,keyasint"`
+	// Limited is set if the server names a limit, Limit. Otherwise its limit has ended.
+	Limited bool `cbor:"3,keyasint,omitempty"`
+	Limit   Rate `cbor:"4,keyasint,omitempty"`
+}
+
 type server struct {
+	born    int64
 	limited bool
 	limit   Rate
-	sent    Sent
+	// statedAt is when the limit was last named, endedAt when it ended.
+	statedAt, endedAt time.Duration
+	// toldAt and told are the time and the limit of the last notice sent or received.
+	toldAt time.Duration
+	told   Rate
+	pacer  pacer
+	sent   Sent
 	// reportedAt is when sent was last set to zero.
 	reportedAt time.Duration
 }
 
-// Table holds the statements of the servers.
+// Table holds the statements of the servers and decides when this host may send to them. Every host uses its share of a
+// limit only, so that the fleet stays within it without a message for each request.
 type Table struct {
+	// Share returns this host's share of a server's limit. The shares of all hosts add up to one at most.
+	Share func(tier.ServerID) float64
+	// Phase returns a number from 0 to 1 by which this host's permits for a server are shifted against those of other hosts.
+	Phase func(tier.ServerID) float64
+	// Born returns the start of a server in Unix milliseconds, as it announced it.
+	Born func(tier.ServerID) int64
+
 	servers map[tier.ServerID]*server
 }
 
@@ -48,40 +94,146 @@
 	}
 }
 
-// Record records the statement of an answer to this host. It reports whether the server named its first limit or none any more.
-func (t *Table) Record(now time.Duration, id tier.ServerID, st Statement) (changed bool) {
+// find returns the entry of a start of a server, which replaces one of an earlier start. It returns nil for an earlier
+// start, and if there is none and create is not set.
+func (t *Table) find(now time.Duration, id tier.ServerID, born int64, create bool) *server {
 	s := t.servers[id]
-	if s == nil {
-		if st.LimitState != Stated {
-			return false
+	switch {
+	case s != nil && s.born == born:
+		return s
+	case s != nil && s.born > born:
+		return nil
+	case !create:
+		delete(t.servers, id)
+		return nil
+	}
+	s = &server{born: born, reportedAt: now, endedAt: now - easingTime, statedAt: now - limitTTL, toldAt: now - noticeInterval, pacer: pacer{at: now, issued: t.Phase(id)}}
+	t.servers[id] = s
+	return s
+}
+
+// Record records the statement of an answer to this host. It reports whether the server named its first limit or none any
+// more, and whether other hosts are to be told.
+func (t *Table) Record(now time.Duration, id tier.ServerID, born int64, st Statement) (changed, tell bool) {
+	s := t.find(now, id, born, st.LimitState == Stated)
+	switch {
+	case s == nil || st.LimitState == Malformed:
+		return false, false
+	case st.LimitState == Absent:
+		ended := s.limited && now-s.statedAt > reorderWindow
+		if ended {
+			s.end(now)
 		}
-		s = &server{reportedAt: now}
-		t.servers[id] = s
+		return ended, ended
 	}
-	if st.LimitState == Malformed {
-		return false
+	changed = !s.active(now)
+	s.name(now, st.Limit)
+	tell = changed || now-s.toldAt >= noticeInterval || math.Abs(float64(st.Limit-s.told)) > changeTolerance*float64(s.told)
+	if tell {
+		s.toldAt, s.told = now, st.Limit
 	}
-	changed = s.limited != (st.LimitState == Stated)
-	s.limited, s.limit = st.LimitState == Stated, st.Limit
-	return changed
+	return changed, tell
 }
 
-// Limit returns the limit that a server names; ok is false if it names none.
-func (t *Table) Limit(id tier.ServerID) (limit Rate, ok bool) {
+// Receive records a notice of another host.
+func (t *Table) Receive(now time.Duration, n Notice) {
+	s := t.find(now, n.Server, n.Born, n.Limited)
+	switch {
+	case s == nil:
+	case n.Limited:
+		s.name(now, n.Limit)
+		s.toldAt, s.told = now, n.Limit
+	case s.limited && now-s.statedAt > reorderWindow:
+		s.end(now)
+	}
+}
+
+// Notice returns what other hosts are told of a server; ok is false if it has stated nothing.
+func (t *Table) Notice(id tier.ServerID) (n Notice, ok bool) {
 	s := t.servers[id]
-	if s == nil || !s.limited {
+	if s == nil {
+		return Notice{}, false
+	}
+	return Notice{Server: id, Born: s.born, Limited: s.limited, Limit: s.limit}, true
+}
+
+func (s *server) name(now time.Duration, limit Rate) {
+	s.limited, s.limit, s.statedAt = true, limit, now
+}
+
+func (s *server) end(now time.Duration) { s.limited, s.endedAt = false, now }
+
+// active reports whether a limit counts.
+func (s *server) active(now time.Duration) bool { return s.limited && now-s.statedAt < limitTTL }
+
+// rate returns the rate at which all hosts together may send to the server; limited is false if there is no bound.
+func (s *server) rate(now time.Duration) (rate Rate, limited bool) {
+	if s.limited && !s.active(now) {
+		s.end(s.statedAt + limitTTL)
+	}
+	if s.limited {
+		return max(s.limit, minRate), true
+	}
+	eased := now - s.endedAt
+	if eased >= easingTime {
 		return 0, false
 	}
-	return s.limit, true
+	return max(s.limit, minEasingRate) * Rate(math.Exp2(eased.Seconds())), true
+}
+
+// Allowed reports whether this host may send a request to a server now, and if not, when it may.
+func (t *Table) Allowed(now time.Duration, id tier.ServerID) (ok bool, next time.Duration) {
+	s := t.servers[id]
+	if s == nil || s.born < t.Born(id) {
+		return true, now
+	}
+	rate, limited := s.rate(now)
+	if !limited {
+		return true, now
+	}
+	own := rate * Rate(t.Share(id))
+	s.pacer.advance(now, own)
+	next = s.pacer.next(now, own)
+	return next <= now, next
+}
+
+// Take uses a permit for a request to a server.
+func (t *Table) Take(now time.Duration, id tier.ServerID) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	if _, limited := s.rate(now); limited {
+		s.pacer.used++
+	}
 }
 
-// RecordSent counts a sub-request to a server that names a limit, or has named one.
+// RecordSent counts a sub-request to a server for its report.
 func (t *Table) RecordSent(id tier.ServerID, p Purpose) {
 	if s := t.servers[id]; s != nil {
 		s.sent[p]++
 	}
 }
 
+// Limit returns the limit that a server names; ok is false if it names none.
+func (t *Table) Limit(now time.Duration, id tier.ServerID) (limit Rate, ok bool) {
+	s := t.servers[id]
+	if s == nil || !s.active(now) {
+		return 0, false
+	}
+	return s.limit, true
+}
+
+// Limited returns the number of servers with a limit.
+func (t *Table) Limited(now time.Duration) (n int) {
+	for _, s := range t.servers {
+		if s.active(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Report returns the numbers of sub-requests since the last report on a server with a limit, and since when; due is false
 // less than reportInterval after it.
 func (t *Table) Report(now time.Duration, id tier.ServerID) (sent Sent, since time.Duration, due bool) {
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -25,6 +25,8 @@
 	careful     bool
 	sent        time.Duration
 	deadline    time.Duration
+	// born is the start of the server to which the sub-request was sent.
+	born int64
 }
 
 // run sends the sub-request, classifies the result and records it.
@@ -33,6 +35,7 @@
 	rep := &directReply{Reply: conn.Reply{Attempt: a.action.Attempt, Shard: a.action.Shard, Server: a.action.Server, Result: conn.ResultFailed}}
 	if direct := d.Directory.Direct(a.action.Server); direct != nil {
 		var err error
+		a.born = direct.Born
 		rep.answer, err = direct.Do(ctx, a.out, a.deadline-a.sent, a.careful)
 		d.classify(rep, err)
 		if rep.Reason == tier.ReasonLost && rep.Result == conn.ResultFailed {
@@ -61,7 +64,7 @@
 	ratio := float64(took) / float64(a.kind.Base)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.recordStatement(now, id, rep.answer.Header)
+	d.recordStatement(now, id, a.born, rep.answer.Header)
 	b := d.Board
 	b.RecordEnded(id)
 	if answered := rep.Result == conn.ResultDone; answered || rep.Reason == tier.ReasonCanceled {
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -94,6 +94,12 @@
 	ServerDied func(tier.Fingerprint, tier.ServerID)
 	// Share returns this node's share of the fleet's fixed allowance.
 	Share func() float64
+	// LimitShare returns this node's share of the limit that a server names; nil means all of it.
+	LimitShare func(tier.ServerID) float64
+	// Notify is called with what other nodes are to be told of a server; it must not block.
+	Notify func(terms.Notice)
+	// Self is this node.
+	Self tier.NodeID
 	// RoutesRecent reports whether the routing table is recent enough to say that a route does not
 	// exist; nil means always.
 	RoutesRecent func() bool
@@ -126,7 +132,7 @@
 	d.latencyMedians = map[string]*pace.Median{}
 	d.started, d.minShare = d.Clock.Now(), WindowMin{Window: d.Budget.Window}
 	d.Board.Start()
-	d.terms.Start()
+	d.startTerms()
 }
 
 // ForgetGone drops the observations of servers that are in the directory no more.
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -58,6 +58,9 @@
 	fingerprint  tier.Fingerprint
 	// lateShards is the number of shards expected to be late when the request arrived.
 	lateShards int
+	// permitAt is when a server's limit lets this node send the next request of a shard for which it let none through;
+	// 0 if there was no such shard.
+	permitAt time.Duration
 }
 
 // directReply is a reply with the server's whole answer.
@@ -235,9 +238,18 @@
 }
 
 func (f *forwarding) pickServer(now time.Duration, _ tier.Shard, list []tier.Candidate) int {
-	f.forwarder.mu.Lock()
-	defer f.forwarder.mu.Unlock()
-	return f.forwarder.Board.Pick(now, f.kind, list)
+	d := f.forwarder
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := d.Board.Pick(now, f.kind, list)
+	switch {
+	case i >= 0:
+		d.terms.Take(now, list[i].Server)
+	case len(list) > 0:
+		f.permitAt = d.nextPermit(now, list)
+		d.Stats.Count("limit_held", f.route.Name)
+	}
+	return i
 }
 
 // loop passes replies and timer ticks to the plan until it has finished or the caller is
--- a/internal/reqst/outbound.go
+++ b/internal/reqst/outbound.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 // answer builds the caller's answer from the state of the plan.
@@ -22,6 +23,9 @@
 	}
 	why := p.Answer().Reason
 	if !p.Ran() {
+		if why == tier.ReasonNoServer && f.permitAt > 0 {
+			return refusal(tier.ReasonServerLimit, max(shortRetryAfter, f.permitAt-f.forwarder.Clock.Now()))
+		}
 		return refusal(why, shortRetryAfter)
 	}
 	if f.forwarder.Clock.Now() >= f.deadline {
--- a/internal/reqst/terms.go
+++ b/internal/reqst/terms.go
@@ -1,9 +1,11 @@
 package reqst
 
 import (
+	"math"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
@@ -11,6 +13,41 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
+// startTerms initializes the table of what servers state, which the choice of servers consults.
+func (d *Forwarder) startTerms() {
+	d.terms = terms.Table{Share: d.LimitShare, Phase: d.permitPhase, Born: d.born}
+	if d.terms.Share == nil {
+		d.terms.Share = func(tier.ServerID) float64 { return 1 }
+	}
+	d.terms.Start()
+	d.Board.Allowed = func(now time.Duration, id tier.ServerID) bool {
+		ok, _ := d.terms.Allowed(now, id)
+		return ok
+	}
+}
+
+// permitPhase spreads the permits of the nodes for one server over time.
+func (d *Forwarder) permitPhase(id tier.ServerID) float64 {
+	return float64(xxhash.Sum64String(string(d.Self)+"/"+string(id))) / math.MaxUint64
+}
+
+func (d *Forwarder) born(id tier.ServerID) int64 {
+	if direct := d.Directory.Direct(id); direct != nil {
+		return direct.Born
+	}
+	return 0
+}
+
+// nextPermit returns when the first of the servers accepts the next request. It is called with mu held.
+func (d *Forwarder) nextPermit(now time.Duration, list []tier.Candidate) time.Duration {
+	first := time.Duration(math.MaxInt64)
+	for _, c := range list {
+		_, at := d.terms.Allowed(now, c.Server)
+		first = min(first, at)
+	}
+	return first
+}
+
 // purpose returns why a sub-request is sent.
 func purpose(a Action) terms.Purpose {
 	switch {
@@ -23,15 +60,19 @@
 }
 
 // recordStatement records what a server states in the header of an answer. It is called with mu held.
-func (d *Forwarder) recordStatement(now time.Duration, id tier.ServerID, h http.Header) {
+func (d *Forwarder) recordStatement(now time.Duration, id tier.ServerID, born int64, h http.Header) {
 	if h == nil || d.Names.Limit == "" {
 		return
 	}
 	var st terms.Statement
 	st.Limit, st.LimitState = terms.ParseLimit(h.Get(d.Names.Limit))
-	if d.terms.Record(now, id, st) {
+	changed, tell := d.terms.Record(now, id, born, st)
+	if changed {
 		event.ServerLimitChanged.Log(d.Log, nil, logrus.Fields{"server": id, "limited": st.LimitState == terms.Stated, "limit": st.Limit})
 	}
+	if n, ok := d.terms.Notice(id); ok && tell && d.Notify != nil {
+		d.Notify(n)
+	}
 	if sent, since, due := d.terms.Report(now, id); due {
 		event.ServerLimited.Log(d.Log, nil, logrus.Fields{
 			"server": id, "limit": st.Limit, "over_ms": (now - since).Milliseconds(),
@@ -39,3 +80,17 @@
 		})
 	}
 }
+
+// ReceiveNotice records what a server stated to another node.
+func (d *Forwarder) ReceiveNotice(n terms.Notice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.terms.Receive(d.Clock.Now(), n)
+}
+
+// LimitedServers returns the number of servers that name a limit.
+func (d *Forwarder) LimitedServers() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.terms.Limited(d.Clock.Now())
+}
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -40,6 +40,7 @@
 	ReasonNoRoute     Reason = "no_route"
 	ReasonRefused     Reason = "connection_refused"
 	ReasonNoRoom      Reason = "no_room"
+	ReasonServerLimit Reason = "server_limit"
 )
 
 // QueryRequest is the body of POST /v1/query.
