Stand-in servers name limits, and the load tool counts what exceeds them

Change: Fault.Limit; stand-ins count requests over one and a half times the limit (+5 in 4 s, from 4 s after it is first named) as a violation of the run.

--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -18,11 +18,13 @@
 	FalseNotRun   int64 `json:"false_not_run"`
 	Doubled       int64 `json:"doubled_writes"`
 	Unconfirmed   int64 `json:"done_but_never_ran"`
+	// OverLimit counts requests beyond the limit that a server named.
+	OverLimit int64 `json:"over_limit"`
 }
 
 // Sum returns the total number of violations.
 func (w Violations) Sum() int64 {
-	return w.Mixed + w.FalseCoverage + w.WrongCaller + w.FalseNotRun + w.Doubled + w.Unconfirmed
+	return w.Mixed + w.FalseCoverage + w.WrongCaller + w.FalseNotRun + w.Doubled + w.Unconfirmed + w.OverLimit
 }
 
 // subAnswer is the body of a stand-in server's answer to a search.
@@ -82,6 +84,7 @@
 	w.WrongCaller += o.WrongCaller
 	w.FalseNotRun += o.FalseNotRun
 	w.Doubled += o.Doubled
+	w.OverLimit += o.OverLimit
 	w.Unconfirmed += o.Unconfirmed
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -212,6 +212,7 @@
 		rep.ExtraLoad = float64(rep.Received)/float64(rep.Needed) - 1
 		rep.CPUMicros = spent * 1e6 / float64(rep.Needed)
 	}
+	rep.Violations.OverLimit += after.OverLimit - before.OverLimit
 	return rep, r.checkWrites(ctx, &rep)
 }
 
@@ -240,6 +241,7 @@
 		all.Received += rep.Total.Received
 		all.Overrun += rep.Total.Overrun
 		all.Shed += rep.Total.Shed
+		all.OverLimit += rep.Total.OverLimit
 		all.Deaths += rep.Total.Deaths
 		all.MaxConns = max(all.MaxConns, rep.Total.MaxConns)
 	}
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -46,6 +46,7 @@
 	dead      bool
 	totals    Counters
 	running   int64
+	limit     limitWatch
 	connCount atomic.Int64
 }
 
@@ -132,6 +133,8 @@
 	shed, truncate, drop, mix, endless   bool
 	endlessKind                          int
 	poison, silent, overSlots, falseLoad bool
+	// limit is the limit that the answer names.
+	limit float64
 }
 
 // admit draws the plan of a request and counts the request as running unless it is shed.
@@ -140,7 +143,10 @@
 	defer s.mu.Unlock()
 	f := &s.fault
 	s.totals.Received++
-	var j requestPlan
+	if s.limit.record(time.Now()) {
+		s.totals.OverLimit++
+	}
+	j := requestPlan{limit: f.Limit}
 	j.poison = f.Poison != "" && strings.Contains(string(body), f.Poison)
 	j.silent = s.isSilenced(r)
 	j.falseLoad = f.Lie
@@ -207,6 +213,9 @@
 	j = s.admit(r, body)
 	w.Header().Set(tier.HeaderRequestID, r.Header.Get(tier.HeaderRequestID))
 	w.Header().Set(tier.HeaderServer, string(s.id))
+	if j.limit > 0 {
+		w.Header().Set(tier.HeaderLimit, strconv.FormatFloat(j.limit, 'f', -1, 64))
+	}
 	switch {
 	case j.shed:
 		w.Header().Set(tier.HeaderNotRun, "1")
@@ -392,6 +401,7 @@
 func (s *server) setFault(f Fault) {
 	s.mu.Lock()
 	s.fault = f
+	s.limit.name(time.Now(), f.Limit)
 	if f.Silent {
 		for addr := range s.silenced {
 			s.silenced[addr] = true
--- a/internal/stand/spec.go
+++ b/internal/stand/spec.go
@@ -86,6 +86,8 @@
 	Lie bool `json:"lie"`
 	// Drain makes the servers announce that they are draining.
 	Drain bool `json:"drain"`
+	// Limit is the number of requests per second that the servers name as their limit; 0 names none.
+	Limit float64 `json:"limit"`
 	// Version makes the servers hold a new index version of Shards shards (0: one per group) in addition to the
 	// present ones or, with DropOld, instead of them.
 	Version tier.IndexVersion `json:"version"`
@@ -109,6 +111,8 @@
 	Overrun   int64 `json:"overrun"`
 	MaxOpen   int64 `json:"most_open"`
 	MaxConns  int64 `json:"most_connections"`
+	// OverLimit counts the requests beyond the limit that a server named.
+	OverLimit int64 `json:"over_limit"`
 	Deaths    int64 `json:"deaths"`
 	Writes    int64 `json:"writes"`
 	Doubled   int64 `json:"doubled"`
@@ -122,6 +126,7 @@
 	c.Overrun += o.Overrun
 	c.MaxOpen = max(c.MaxOpen, o.MaxOpen)
 	c.MaxConns = max(c.MaxConns, o.MaxConns)
+	c.OverLimit += o.OverLimit
 	c.Deaths += o.Deaths
 	c.Writes += o.Writes
 	c.Doubled += o.Doubled
--- a/internal/system/edge_test.go
+++ b/internal/system/edge_test.go
@@ -244,20 +244,17 @@
 	"services": [{"name": "fitter-app-0"}, {"name": "fitter-app-1"}, {"name": "fitter-app-2"}, {"name": "desk-0"}],
 }`
 
-// TestLoadOverARoutingTable sends searches and writes through a routing table to stand-in servers, some of which
-// die, shed load, drop connections or return wrong answers. Every answer is checked, and every write is compared
-// with what the servers ran.
-func TestLoadOverARoutingTable(t *testing.T) {
-	e := newEdgeCluster(t)
+// startLoad applies loadRoutes and starts the stand-in servers of its services. It returns their admin address once all
+// nodes know them.
+func (e *edgeCluster) startLoad(t *testing.T) (admin string) {
 	file := filepath.Join(e.dir, "routes.jsonc")
 	require.NoError(t, os.WriteFile(file, []byte(loadRoutes), 0o600))
 	out, code := e.cli("routes", "apply", file, "--reason", "load")
 	require.Zero(t, code, out)
-	entries := strings.Split(e.control(), ",")
-	admin, base := ports.allocate(1), ports.allocate(12)
-	require.NotZero(t, admin*base)
+	port, base := ports.allocate(1), ports.allocate(12)
+	require.NotZero(t, port*base)
 	servers := stand.Stand{Spec: stand.Spec{
-		Admin: fmt.Sprint("127.0.0.1:", admin), Entries: entries, Host: loopback, BasePort: base, Seed: 1, LeaseMs: 1000,
+		Admin: fmt.Sprint("127.0.0.1:", port), Entries: strings.Split(e.control(), ","), Host: loopback, BasePort: base, Seed: 1, LeaseMs: 1000,
 		Services: []stand.Service{
 			{Name: "fitter-app", Groups: 3, Replicas: 3, Slots: 8, Connections: 60, WorkMs: 2, Zones: zones, Routed: true},
 			{Name: "desk", Groups: 1, Replicas: 3, Slots: 8, Connections: 60, WorkMs: 2, Zones: zones, Routed: true},
@@ -278,8 +275,17 @@
 		}
 		return true
 	})
+	return servers.Spec.Admin
+}
+
+// TestLoadOverARoutingTable sends searches and writes through a routing table to stand-in servers, some of which
+// die, shed load, drop connections or return wrong answers. Every answer is checked, and every write is compared
+// with what the servers ran.
+func TestLoadOverARoutingTable(t *testing.T) {
+	e := newEdgeCluster(t)
+	admin := e.startLoad(t)
 	run := load.Runner{Spec: load.Spec{
-		Entries: entries, Standins: []string{servers.Spec.Admin}, Seed: 3, Seconds: 4,
+		Entries: strings.Split(e.control(), ","), Standins: []string{admin}, Seed: 3, Seconds: 4,
 		Streams: []load.Stream{
 			{Service: "search", Host: "a.example", Path: "/search/x", Shards: 3, Rate: 60, DeadlineMs: 2000},
 			{Service: "write", Host: "a.example", Path: "/write/x", Write: true, Rate: 30, DeadlineMs: 2000},
@@ -301,6 +307,28 @@
 	require.NotZero(t, rep.Deaths)
 }
 
+// TestServersOfAFleetGetNoMoreThanTheirLimits sends searches through three nodes while servers of one shard name limits
+// below what they get, first two of them and then all.
+func TestServersOfAFleetGetNoMoreThanTheirLimits(t *testing.T) {
+	e := newEdgeCluster(t)
+	admin := e.startLoad(t)
+	run := load.Runner{Spec: load.Spec{
+		Entries: strings.Split(e.control(), ","), Standins: []string{admin}, Seed: 3, Seconds: 13,
+		Streams: []load.Stream{{Service: "search", Host: "a.example", Path: "/search/x", Shards: 3, Rate: 150, DeadlineMs: 2000}},
+		Events: []load.Event{
+			{AtSeconds: 0.2, Fault: stand.Fault{Match: "fitter-app-0-0", Limit: 10}},
+			{AtSeconds: 0.2, Fault: stand.Fault{Match: "fitter-app-0-1", Limit: 5}},
+			{AtSeconds: 7, Fault: stand.Fault{Match: "fitter-app-0-2", Limit: 20}},
+		},
+	}}
+	rep, err := run.Run(context.Background())
+	require.NoError(t, err)
+	require.Zero(t, rep.Violations.Sum(), "%+v", rep.Violations)
+	require.Positive(t, rep.Streams[0].Outcomes["done"], "%+v", rep.Streams[0])
+	require.Positive(t, rep.Streams[0].Outcomes["partial"], "searches are answered without the shard whose servers accept no more")
+	require.Zero(t, rep.Streams[0].Errors, rep.Streams[0].FirstErr)
+}
+
 // await polls until done returns true and fails the test after eventTimeout.
 func await(t *testing.T, what string, done func() bool) {
 	t.Helper()
