Edge nodes: an event and gauges on the servers that a host does not reach

Cause: no log or metric said how many servers a host had lost, so that the hypotheses of the incident could not be told apart. Change: package reach counts, by server, sub-requests without an answer and failures in a row; event 314, gauges servers_reach. No decision uses them.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -241,6 +241,7 @@
 	work.Add(base, &g, n.runReplica)
 	work.Add(base, &g, n.saveCopies)
 	work.Add(base, &g, n.maintain)
+	work.Add(base, &g, n.watchReach)
 	for _, f := range actors {
 		work.Add(base, &g, f)
 	}
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -126,6 +126,9 @@
 	set("requests_open", "", float64(n.forwarder.Open()))
 	set("bodies_held_bytes", "", float64(n.budget.Held()))
 	set("servers_limited", "", float64(n.forwarder.LimitedServers()))
+	tried, lost := n.forwarder.LostServers()
+	set("servers_reach", "tried", float64(tried))
+	set("servers_reach", "lost", float64(lost))
 	set("routes_version", "", float64(n.routesVersion()))
 	if n.LinesDropped != nil {
 		set("log_lines_unwritten", "", float64(n.LinesDropped()))
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -65,6 +65,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordStatement(now, id, a.born, rep.answer.Header)
+	d.recordReach(now, id, rep)
 	b := d.Board
 	b.RecordEnded(id)
 	if answered := rep.Result == conn.ResultDone; answered || rep.Reason == tier.ReasonCanceled {
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -12,6 +12,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
+	"sassafrasring.dev/sassafrasring/internal/proc/reach"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
@@ -112,9 +113,12 @@
 	failureLog     failureLimit
 	suspects       Suspects
 	terms          terms.Table
-	base           context.Context
-	open           atomic.Int64
-	served         atomic.Int64
+	reach          reach.Board
+	// reachUpdated is when UpdateReach was last called.
+	reachUpdated time.Duration
+	base         context.Context
+	open         atomic.Int64
+	served       atomic.Int64
 }
 
 // Allowance is the fleet's budget of extra sub-requests for each service: in every Window,
@@ -133,6 +137,7 @@
 	d.started, d.minShare = d.Clock.Now(), WindowMin{Window: d.Budget.Window}
 	d.Board.Start()
 	d.startTerms()
+	d.reach.Start()
 }
 
 // ForgetGone drops the observations of servers that are in the directory no more.
@@ -142,6 +147,7 @@
 	known := func(id tier.ServerID) bool { return d.Directory.Direct(id) != nil }
 	d.Board.Forget(known)
 	d.terms.Forget(known)
+	d.reach.Forget(known)
 }
 
 // Served returns the number of requests received since the start.
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -307,6 +307,7 @@
 	d.mu.Lock()
 	d.Board.RecordSent(a.Server)
 	d.terms.RecordSent(a.Server, purpose(a))
+	d.reach.Sent(now, a.Server, f.kind.Base)
 	d.mu.Unlock()
 	f.attempts.sent(now, a)
 	ctx, cancel := context.WithCancel(d.base)
