Edge nodes: a host that is cut off from the servers serves through other hosts

Seen: callers of hosts that reached no server, though callers and other hosts reached them, were served 36 to 43 of some 500 first tries; the others all. They waited to their deadlines, or got 502 though no server had their request. Cause: each host judges servers one by one and for each request anew; nothing drew the conclusion that it is the host that is cut off, no path led to servers through another host, and callers keep an address for up to 15 s. The class: a host that is partly dead counts as sound for all parts that decide by membership. Change: a host that has lost more than half (and at least four) of the servers that it tried in the last 2 s, by two failures or two sub-requests without an answer for 300 ms and four usual times each, counts as cut off, says so in its record, and probes lost servers every 100 ms until fewer than a quarter are lost. Meanwhile it passes each request to another host that is not cut off (one hop; that host sends, counts budgets and first sub-requests; in turn over the strong hosts; two hosts at most, the second only if the request has not run, or is idempotent and within the budget of repeats). Idempotent requests that wait when the cut is noticed are passed on too. No answer of the other host means 'may have run'. If no host reaches the servers, requests are refused at once. Callers' lists leave cut hosts out while there are others; a cut host keeps servers' leases for three times as long.

--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -76,6 +76,11 @@
 		}
 		_ = c.conn.Close()
 	}
+	return d.dial(ctx, verify)
+}
+
+// dial opens a connection. With verify, it has checked that the server leaves it open.
+func (d *Direct) dial(ctx context.Context, verify bool) (*directConn, error) {
 	dialer := net.Dialer{
 		Timeout:         directDialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
@@ -94,6 +99,19 @@
 	return newDirectConn(c.(*net.TCPConn))
 }
 
+// Probe reports whether the server accepts a new connection. It is kept for the next request, and replaces the idle ones,
+// whose state may be lost on the path to the server.
+func (d *Direct) Probe(ctx context.Context) bool {
+	c, err := d.dial(ctx, true)
+	if err != nil {
+		return false
+	}
+	d.CloseIdle()
+	c.idleUntil = time.Now().Add(maxDirectIdle)
+	d.idle.push(c)
+	return true
+}
+
 // staysOpen reports whether a new connection is still open after newConnCheckDelay.
 func staysOpen(ctx context.Context, c net.Conn) bool {
 	select {
--- a/internal/conn/direct_test.go
+++ b/internal/conn/direct_test.go
@@ -326,3 +326,17 @@
 	require.Equal(t, http.StatusServiceUnavailable, a.Status, "a refusal may have no ID")
 	next()
 }
+
+// TestProbeReplacesIdleConnections: a host that was cut off from a server probes it. A connection that is accepted and stays
+// open is kept for the next request; the former ones, whose state may be lost, are closed.
+func TestProbeReplacesIdleConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &Direct{Address: l.Addr().String(), Server: "s"}
+	defer d.Close()
+	require.True(t, d.Probe(t.Context()))
+	require.True(t, d.Probe(t.Context()))
+	require.Equal(t, 1, d.Idle())
+	require.NoError(t, l.Close())
+	require.False(t, d.Probe(t.Context()))
+}
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -23,9 +23,9 @@
 }
 
 func pickEntries(hosts []spread.Host, zone tier.Zone, region tier.Region) []string {
-	list := readyHosts(hosts, func(h *spread.Host) bool { return h.Region == region })
+	list := usableHosts(hosts, func(h *spread.Host) bool { return h.Region == region })
 	if len(list) == 0 {
-		list = readyHosts(hosts, func(*spread.Host) bool { return true })
+		list = usableHosts(hosts, func(*spread.Host) bool { return true })
 	}
 	list = strongHosts(list)
 	var sameZone []*spread.Host
@@ -40,6 +40,26 @@
 	return addresses(list)
 }
 
+// usableHosts returns the ready hosts that reach the servers, or all ready hosts if none does.
+func usableHosts(hosts []spread.Host, match func(*spread.Host) bool) []*spread.Host {
+	ready := readyHosts(hosts, match)
+	if connected := reachingHosts(ready); len(connected) > 0 {
+		return connected
+	}
+	return ready
+}
+
+// reachingHosts leaves out the hosts that are cut off from the servers.
+func reachingHosts(list []*spread.Host) []*spread.Host {
+	var out []*spread.Host
+	for _, h := range list {
+		if !h.Cut {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 func readyHosts(hosts []spread.Host, match func(*spread.Host) bool) []*spread.Host {
 	var out []*spread.Host
 	for i := range hosts {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -121,12 +121,13 @@
 		kindRaft:    conn.Receive(n.deliver),
 		kindControl: n.serveControl,
 		kindTable:   n.serveTable,
+		kindRelay:   n.serveRelay,
 	}
 	n.forwarder = &reqst.Forwarder{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
-		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice,
+		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
 	}
 }
 
--- a/internal/proc/reach/reach.go
+++ b/internal/proc/reach/reach.go
@@ -19,6 +19,8 @@
 	// unanswered. Regular pauses of servers are shorter.
 	silenceFactor = 4
 	minSilence    = 300 * time.Millisecond
+	// resumeTime is how long failures after a suspension may be those of connections that ended meanwhile.
+	resumeTime = 500 * time.Millisecond
 	// minLost is the number of lost servers from which a host may be cut off.
 	minLost = 4
 	// A host is cut off if it has lost more than lostShare of the servers that it tried lately, and in touch again when it
@@ -44,6 +46,8 @@
 type Board struct {
 	servers map[tier.ServerID]*server
 	cut     bool
+	// heldUntil is until when the host does not count as cut off after a suspension.
+	heldUntil time.Duration
 }
 
 // Start clears the board. It must be called before first use.
@@ -100,13 +104,12 @@
 // servers count as tried until they answer.
 func (b *Board) Counts(now time.Duration) (tried, lost int) {
 	for _, s := range b.servers {
-		gone := s.lost(now)
-		if now-s.triedAt > evidenceAge && !(b.cut && gone) {
-			continue
-		}
-		tried++
-		if gone {
+		switch {
+		case s.lost(now) && (b.cut || now-s.triedAt <= evidenceAge):
+			tried++
 			lost++
+		case now-s.triedAt <= evidenceAge:
+			tried++
 		}
 	}
 	return tried, lost
@@ -119,14 +122,15 @@
 	if b.cut {
 		b.cut = float64(lost) >= regainedShare*float64(tried) && lost > 0
 	} else {
-		b.cut = lost >= minLost && float64(lost) > lostShare*float64(tried)
+		b.cut = now >= b.heldUntil && lost >= minLost && float64(lost) > lostShare*float64(tried)
 	}
 	return b.cut, b.cut != before
 }
 
 // Suspended must be called after a time in which this process did not run: answers may have arrived meanwhile without
-// being read.
+// being read, and servers may have closed idle connections.
 func (b *Board) Suspended(now time.Duration) {
+	b.heldUntil = now + resumeTime
 	for _, s := range b.servers {
 		s.silentAt = max(s.silentAt, now+minSilence)
 	}
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -350,7 +350,7 @@
 				s.dropServer(id)
 			}
 		case e.rec.Home == s.self.ID:
-			if now-e.lastAnnounced > s.Lease {
+			if now-e.lastAnnounced > s.lease() {
 				s.markLost(now, e)
 			}
 		case expireOrphans && s.orphaned(now, e.rec.Home):
@@ -369,6 +369,15 @@
 	}
 }
 
+// lease returns how long a server stays live at this host after its last announcement. A host that is cut off from the
+// servers may not get their announcements, which need time to reach other hosts.
+func (s *State) lease() time.Duration {
+	if s.self.Cut {
+		return cutLeaseFactor * s.Lease
+	}
+	return s.Lease
+}
+
 // lowestLiveHost reports whether this host has the lowest id of the live ones; it then expires the leases of servers
 // whose home is down.
 func (s *State) lowestLiveHost() bool {
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -45,6 +45,8 @@
 	// Cores is the number of CPU cores available to the host, Mbits its link's bandwidth in Mbit/s; 0 means unknown.
 	Cores float64 `cbor:"13,keyasint,omitempty" json:"cores,omitempty"`
 	Mbits float64 `cbor:"14,keyasint,omitempty" json:"mbits,omitempty"`
+	// Cut is set while the host does not reach the servers, though it reaches other hosts.
+	Cut bool `cbor:"15,keyasint,omitempty" json:"cut,omitempty"`
 }
 
 // Less reports whether o is the newer version of the same host.
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -54,6 +54,8 @@
 	introductionPeriod = 3 * time.Second
 	// watchedSuccessors is the number of successors on the ring whose failure a host detects.
 	watchedSuccessors = 2
+	// cutLeaseFactor multiplies the lease of the servers at a host that is cut off from them.
+	cutLeaseFactor = 3
 	// tombstoneRetention is how long the record of a lost or gone server is kept, longer than an announcement can be
 	// delayed.
 	tombstoneRetention = 60 * time.Second
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -54,6 +54,9 @@
 	Body   []byte
 	// TimeLeft is how long the caller will wait; 0 if it did not say.
 	TimeLeft time.Duration
+	// Relayed is set if another node passed the request on; RoutesVersion is the version of its routing table.
+	Relayed       bool
+	RoutesVersion vers.RoutesVersion
 }
 
 // Outbound is the answer to a caller.
@@ -99,6 +102,11 @@
 	LimitShare func(tier.ServerID) float64
 	// Notify is called with what other nodes are to be told of a server; it must not block.
 	Notify func(terms.Notice)
+	// RelayPeers returns the nodes through which requests may be relayed while this node is cut off from the servers.
+	RelayPeers func() []tier.NodeID
+	// RelayTo sends a request through another node and returns its answer; nil disables relaying. The error wraps
+	// conn.ErrNotSent if that node did not receive the request.
+	RelayTo func(ctx context.Context, peer tier.NodeID, in *Inbound) (Outbound, error)
 	// Self is this node.
 	Self tier.NodeID
 	// RoutesRecent reports whether the routing table is recent enough to say that a route does not
@@ -116,9 +124,13 @@
 	reach          reach.Board
 	// reachUpdated is when UpdateReach was last called.
 	reachUpdated time.Duration
-	base         context.Context
-	open         atomic.Int64
-	served       atomic.Int64
+	relays       relayPeers
+	// cutOff is closed while this node is cut off from the servers.
+	cutOff chan struct{}
+	cut    atomic.Bool
+	base   context.Context
+	open   atomic.Int64
+	served atomic.Int64
 }
 
 // Allowance is the fleet's budget of extra sub-requests for each service: in every Window,
@@ -138,6 +150,7 @@
 	d.Board.Start()
 	d.startTerms()
 	d.reach.Start()
+	d.cutOff = make(chan struct{})
 }
 
 // ForgetGone drops the observations of servers that are in the directory no more.
@@ -217,6 +230,9 @@
 		return refusal(tier.ReasonNoControl, shortRetryAfter)
 	}
 	r := table.Match(in.Host, in.Path)
+	if in.Relayed && in.RoutesVersion > table.Version {
+		return refusal(tier.ReasonNoControl, shortRetryAfter)
+	}
 	if r == nil && d.RoutesRecent != nil && !d.RoutesRecent() {
 		return refusal(tier.ReasonNoControl, shortRetryAfter)
 	}
@@ -228,8 +244,21 @@
 		event.RequestQuarantined.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.fingerprint})
 		return refusal(tier.ReasonQuarantine, hold)
 	}
+	began := d.Clock.Now()
+	if d.cut.Load() && d.relayable(in) {
+		if out, ok := d.relay(ctx, in, r, table.Version, began); ok {
+			return out
+		}
+	}
 	out := f.run(ctx)
-	out.Release = f.reservations.Release
+	if f.diverted {
+		if relayed, ok := d.relay(ctx, in, r, table.Version, began); ok {
+			out = relayed
+		}
+	}
+	if out.Release == nil {
+		out.Release = f.reservations.Release
+	}
 	f.log(&out)
 	return out
 }
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -61,6 +61,9 @@
 	// permitAt is when a server's limit lets this node send the next request of a shard for which it let none through;
 	// 0 if there was no such shard.
 	permitAt time.Duration
+	// diverted is set if the node turned out to be cut off from the servers while the request waited for them, and the
+	// request goes on through another node.
+	diverted bool
 }
 
 // directReply is a reply with the server's whole answer.
@@ -88,6 +91,9 @@
 	if f.lateShards = f.countLateShards(now, layout); len(layout.Shards)-f.lateShards < max(1, f.plan.Options.MinShards) {
 		return refusal(tier.ReasonOverload, shortRetryAfter)
 	}
+	if d.cut.Load() && len(layout.Shards)-f.countLostShards(now, layout) < max(1, f.plan.Options.MinShards) {
+		return refusal(tier.ReasonIsolated, shortRetryAfter)
+	}
 	f.countFirstRequests(now)
 	f.perform(now, f.plan.Start(now))
 	f.loop(ctx)
@@ -259,8 +265,14 @@
 	wake := f.plan.Next()
 	timer := time.NewTimer(wake - clock.Now())
 	defer timer.Stop()
+	cutOff := f.cutOff()
 	for !f.plan.Finished() {
 		select {
+		case <-cutOff:
+			cutOff = nil
+			if f.divert() {
+				return
+			}
 		case r := <-f.replies:
 			now := clock.Now()
 			f.recordReply(now, r)
--- a/internal/reqst/reach.go
+++ b/internal/reqst/reach.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
+	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -33,15 +34,84 @@
 	d.reachUpdated = now
 	cut, changed := d.reach.Update(now)
 	if changed {
+		d.setCut(cut)
 		tried, lost := d.reach.Counts(now)
 		event.ServersOutOfReach.Log(d.Log, nil, logrus.Fields{"cut": cut, "tried": tried, "lost": lost})
 	}
 	return cut
 }
 
+// setCut makes requests that wait for servers go on through other nodes. It is called with mu held.
+func (d *Forwarder) setCut(cut bool) {
+	d.cut.Store(cut)
+	if cut {
+		close(d.cutOff)
+		return
+	}
+	d.cutOff = make(chan struct{})
+}
+
+// cutOff returns a channel that is closed when this node turns out to be cut off, or nil if it is already, or if the request
+// must not be sent through another node because it may have run, or came from one.
+func (f *forwarding) cutOff() <-chan struct{} {
+	d := f.forwarder
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !f.route.Idempotent || !d.relayable(f.in) || d.cut.Load() {
+		return nil
+	}
+	return d.cutOff
+}
+
+// divert gives up the servers of an idempotent request that no longer reaches them, if the budget allows that other
+// servers get it once more.
+func (f *forwarding) divert() bool {
+	d := f.forwarder
+	now := d.Clock.Now()
+	if f.plan.Covered() || len(d.RelayPeers()) == 0 || !d.spendRepeats(f.services) {
+		return false
+	}
+	f.plan.Abort()
+	f.diverted = true
+	d.Stats.Count("diverted", f.route.Name)
+	event.RequestDiverted.Log(d.Log, nil, logrus.Fields{"request": f.in.ID, "route": f.route.Name, "after_ms": (now - f.attempts.start).Milliseconds()})
+	return true
+}
+
+// countLostShards returns the number of shards of which this node reaches no server.
+func (f *forwarding) countLostShards(now time.Duration, l *vers.Layout) (n int) {
+	d := f.forwarder
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, list := range l.Shards {
+		reached := len(list) == 0
+		for _, c := range list {
+			reached = reached || !d.reach.Lost(now, c.Server)
+		}
+		if !reached {
+			n++
+		}
+	}
+	return n
+}
+
 // LostServers returns how many servers this node has tried lately, and how many of them it does not reach.
 func (d *Forwarder) LostServers() (tried, lost int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.reach.Counts(d.Clock.Now())
 }
+
+// LostServersToProbe returns servers that this node does not reach, at most limit of them.
+func (d *Forwarder) LostServersToProbe(limit int) []tier.ServerID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reach.LostServers(d.Clock.Now(), nil, limit)
+}
+
+// ServerReached records that a server has accepted a connection.
+func (d *Forwarder) ServerReached(id tier.ServerID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reach.Answered(d.Clock.Now(), id)
+}
--- /dev/null
+++ b/internal/reqst/relay_test.go
@@ -0,0 +1,173 @@
+package reqst
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// TestRequestsOfACutHostGoThroughAnother lists what other nodes do with a relayed request, and what the caller gets.
+func TestRequestsOfACutHostGoThroughAnother(t *testing.T) {
+	served := Outbound{Status: http.StatusOK}
+	refused := refusal(tier.ReasonServerLimit, time.Second)
+	isolated := refusal(tier.ReasonIsolated, shortRetryAfter)
+	type reply struct {
+		out Outbound
+		err error
+	}
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		replies    []reply
+		relayed    bool
+		status     int
+		sent       int
+	}{
+		{"served", true, []reply{{out: served}}, true, 200, 1},
+		{"refused: passed on as it is", true, []reply{{out: refused}}, true, 503, 1},
+		{"the first does not get it", false, []reply{{err: conn.ErrNotSent}, {out: served}}, true, 200, 2},
+		{"nobody gets it", true, []reply{{err: conn.ErrNotSent}, {err: conn.ErrNotSent}}, false, 0, 2},
+		{"the first is cut off too", false, []reply{{out: isolated}, {out: served}}, true, 200, 2},
+		{"all are cut off", true, []reply{{out: isolated}, {out: isolated}}, true, 503, 2},
+		{"no answer, may run again", true, []reply{{err: errNoAnswer}, {out: served}}, true, 200, 2},
+		{"no answer, must not run again", false, []reply{{err: errNoAnswer}, {out: served}}, true, 502, 1},
+		{"no answer twice", true, []reply{{err: errNoAnswer}, {err: errNoAnswer}}, true, 502, 2},
+	} {
+		d := benchForwarder(t, 1)
+		sent := 0
+		d.RelayPeers = func() []tier.NodeID { return []tier.NodeID{"a", "b", "c"} }
+		d.RelayTo = func(_ context.Context, _ tier.NodeID, in *Inbound) (Outbound, error) {
+			require.True(t, in.Relayed, c.name)
+			require.Equal(t, vers.RoutesVersion(7), in.RoutesVersion, c.name)
+			require.Positive(t, in.TimeLeft, c.name)
+			r := c.replies[sent]
+			sent++
+			return r.out, r.err
+		}
+		r := d.Routes().Routes[0]
+		r.Idempotent = c.idempotent
+		out, ok := d.relay(context.Background(), &Inbound{ID: "id", TimeLeft: time.Second}, &r, 7, d.Clock.Now())
+		require.Equal(t, c.relayed, ok, c.name)
+		require.Equal(t, c.status, out.Status, c.name)
+		require.Equal(t, c.sent, sent, c.name)
+	}
+}
+
+// cutForwarder returns a node whose servers no longer exist, after it has noticed.
+func cutForwarder(t *testing.T, shards int) *Forwarder {
+	d := benchForwarder(t, shards)
+	now := d.Clock.Now()
+	for _, list := range d.Directory.(*staticDirectory).services {
+		for _, c := range list {
+			d.reach.Failed(now, c.Server)
+			d.reach.Failed(now, c.Server)
+		}
+	}
+	d.reachUpdated = now
+	require.True(t, d.UpdateReach())
+	return d
+}
+
+// TestCallersOfACutHostAreNotServed: a host that was cut off from all servers went on sending to them, so that its callers
+// waited to their deadlines.
+func TestCallersOfACutHostAreNotServed(t *testing.T) {
+	in := func() *Inbound {
+		return &Inbound{ID: "id", Method: http.MethodGet, Target: "/q", Path: "/q", Host: "search.example", Header: http.Header{}, TimeLeft: time.Second}
+	}
+	peers := []tier.NodeID{"a"}
+	for _, c := range []struct {
+		name    string
+		peers   []tier.NodeID
+		relayed bool
+		status  int
+		reason  tier.Reason
+	}{
+		{"another host reaches the servers", peers, false, http.StatusAccepted, ""},
+		{"no host reaches them: refused at once", nil, false, http.StatusServiceUnavailable, tier.ReasonIsolated},
+		{"a second hop is not taken", peers, true, http.StatusServiceUnavailable, tier.ReasonIsolated},
+	} {
+		d := cutForwarder(t, 4)
+		d.RelayPeers = func() []tier.NodeID { return c.peers }
+		d.RelayTo = func(context.Context, tier.NodeID, *Inbound) (Outbound, error) {
+			return Outbound{Status: http.StatusAccepted}, nil
+		}
+		r := in()
+		r.Relayed = c.relayed
+		began := time.Now()
+		out := d.Forward(context.Background(), r)
+		require.Equal(t, c.status, out.Status, c.name)
+		require.Equal(t, c.reason, out.Reason, c.name)
+		require.Less(t, time.Since(began), 500*time.Millisecond, c.name)
+	}
+}
+
+// TestWaitingRequestIsDiverted: a host is cut off while a request waits for its servers. An idempotent one goes on through
+// another host, if the budget allows it; one that must not run twice waits for its servers.
+func TestWaitingRequestIsDiverted(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		budget     float64
+		status     int
+	}{
+		{"idempotent", true, 60, http.StatusOK},
+		{"no budget", true, 0, http.StatusGatewayTimeout},
+		{"must not run twice", false, 60, http.StatusGatewayTimeout},
+	} {
+		d := benchForwarder(t, 4)
+		d.Budget.Ratio, d.Budget.Fixed = 0, c.budget
+		d.Routes().Routes[0].Idempotent = c.idempotent
+		dir := d.Directory.(*staticDirectory)
+		for id := range dir.direct {
+			dir.direct[id] = &conn.Direct{Address: silentServer(t), Server: id}
+		}
+		d.RelayPeers = func() []tier.NodeID { return []tier.NodeID{"a"} }
+		d.RelayTo = func(context.Context, tier.NodeID, *Inbound) (Outbound, error) {
+			return Outbound{Status: http.StatusOK}, nil
+		}
+		answered := make(chan Outbound, 1)
+		go func() {
+			answered <- d.Forward(context.Background(), &Inbound{ID: "id", Method: http.MethodGet, Target: "/q", Path: "/q", Host: "search.example", Header: http.Header{}, TimeLeft: time.Second})
+		}()
+		require.Eventually(t, func() bool { tried, _ := d.LostServers(); return tried >= 4 }, time.Second, time.Millisecond, c.name)
+		d.mu.Lock()
+		d.setCut(true)
+		d.mu.Unlock()
+		require.Equal(t, c.status, (<-answered).Status, c.name)
+	}
+}
+
+// silentServer accepts connections and never answers.
+func silentServer(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+func TestRelayPeersAreTakenInTurnAndAvoidedAfterFailures(t *testing.T) {
+	var p relayPeers
+	list := []tier.NodeID{"a", "b", "c"}
+	p.avoid(0, "b")
+	for _, c := range []struct {
+		at   time.Duration
+		want tier.NodeID
+	}{{0, "a"}, {0, "c"}, {0, "a"}, {relayAvoidance, "b"}} {
+		id, ok := p.pick(c.at, list)
+		require.True(t, ok)
+		require.Equal(t, c.want, id)
+	}
+	_, ok := p.pick(0, nil)
+	require.False(t, ok)
+}
