Stand-ins, soak and tests cut hosts off from servers

Cause: neither the stand-in servers nor the soak could play a host that reaches callers and hosts but no server; all nodes of a machine dial servers from one address.

--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -68,7 +68,7 @@
 		return edge.Settings{}, err
 	}
 	return edge.Settings{
-		ID: s.ID, Bind: s.Bind, Name: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control, LinkPort: s.LinkPort, GossipPort: s.GossipPort,
+		ID: s.ID, Bind: s.Bind, Source: s.Source, Name: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control, LinkPort: s.LinkPort, GossipPort: s.GossipPort,
 		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Data: s.Data, Tolerance: s.Tolerance, AnnounceInterval: s.AnnounceIntervalMs.Duration(), GracePeriod: s.GraceMs.Duration(),
 		AnswerTTL: s.TTLMs.Duration(), Answers: s.Answers.Limits(), HeldBytes: s.Answers.HeldBytes, MemoryBytes: int64(s.Limits.MemoryMB) * megabyte,
 		Budget: reqst.Allowance{Ratio: float64(s.Repeats.Percent) / percent, Fixed: float64(s.Repeats.Fixed), Window: s.Repeats.WindowMs.Duration()},
--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -38,6 +38,8 @@
 	Server tier.ServerID
 	// Born is the start of the server in Unix milliseconds, as it announced it.
 	Born int64
+	// Source is the local address of new connections; nil lets the system choose it.
+	Source *net.TCPAddr
 	// Limits bounds answers; nil means DefaultAnswerLimits.
 	Limits *AnswerLimits
 	// OnDial, if not nil, is called after each new connection is established.
@@ -85,6 +87,9 @@
 		Timeout:         directDialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
+	if d.Source != nil {
+		dialer.LocalAddr = d.Source
+	}
 	c, err := dialer.DialContext(ctx, "tcp", d.Address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
--- a/internal/edge/catalog.go
+++ b/internal/edge/catalog.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	onDial func()
 	// limits bounds servers' answers.
 	limits *conn.AnswerLimits
+	// source is the local address of connections; nil lets the system choose it.
+	source *net.TCPAddr
 
 	// mu guards the records and their indexes.
 	mu        sync.Mutex
@@ -121,7 +124,7 @@
 	if old != nil {
 		closing = append(closing, old.direct)
 	}
-	c.targets.Store(id, &target{rec: r, direct: &conn.Direct{Address: r.Address, Server: id, Born: r.Born, OnDial: c.onDial, Limits: c.limits}})
+	c.targets.Store(id, &target{rec: r, direct: &conn.Direct{Address: r.Address, Server: id, Born: r.Born, Source: c.source, OnDial: c.onDial, Limits: c.limits}})
 	return closing
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -107,6 +108,9 @@
 	n.workers = &work.Pool{}
 	n.buildLimits()
 	n.catalog = &catalog{limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }}
+	if s := n.Settings.Source; s != "" {
+		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
+	}
 	n.catalog.start()
 	n.gossip = &gossip{settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged, onTick: n.OnTick, currentChanged: make(chan struct{}, 1)}
 	if n.Certs == nil {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -36,6 +36,8 @@
 	// Bind is the local IP address for connections from other nodes, if it differs from the id: the
 	// id may be the address of a relay in front of the node.
 	Bind tier.NodeID
+	// Source is the local IP address of connections to servers; empty lets the system choose it.
+	Source tier.NodeID
 	// Seeds are the nodes to contact first.
 	Seeds []tier.NodeID
 	// Bootstrap is set at the first start of the whole fleet and lets the seeds bootstrap the control
--- a/internal/setup/edge.go
+++ b/internal/setup/edge.go
@@ -18,6 +18,7 @@
 	LinkPort           int           `json:"link_port" doc:"Port for streams between nodes (UDP, QUIC); the same on all nodes." allow:"1 to 65535" default:"7740"`
 	GossipPort         int           `json:"gossip_port" doc:"Port for datagrams between nodes (UDP); the same on all nodes." allow:"1 to 65535" default:"7741"`
 	Bind               tier.NodeID   `json:"bind" doc:"IP address on which other nodes are served, if different from id, as behind a relay." allow:"an IP address" default:"id"`
+	Source             tier.NodeID   `json:"source" doc:"IP address from which connections to servers are opened; if empty, the system chooses it." allow:"an IP address"`
 	Seeds              []tier.NodeID `json:"seeds" doc:"Ids of the nodes to contact first: three, at least one of which must be up when a node starts." allow:"1 to 9 IP addresses"`
 	Bootstrap          bool          `json:"found" doc:"Whether this is the first start of the whole fleet; the seeds then bootstrap the control group." default:"false"`
 	Data               string        `json:"data" doc:"Data folder; a node that has one holds a replica of the control log." allow:"a path"`
@@ -95,6 +96,9 @@
 	if s.Bind != "" {
 		c.ip("bind", string(s.Bind))
 	}
+	if s.Source != "" {
+		c.ip("source", string(s.Source))
+	}
 	c.name("name", s.Name)
 	c.name("zone", string(s.Zone))
 	c.name("region", string(s.Region))
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -45,6 +45,16 @@
 		f.afterDelay(d/4, func() { h.callerRelay.setFault(Fault{}); h.callerRelay.reset() })
 	}},
 	{"reset callers' connections", func(_ *Fleet, h *host, _ time.Duration) { h.callerRelay.reset() }},
+	{"cut off from the servers", func(f *Fleet, h *host, d time.Duration) {
+		f.setServersCut(h, true)
+		f.afterDelay(d, func() { f.setServersCut(h, false) })
+	}},
+	{"all cut off from the servers", func(f *Fleet, _ *host, d time.Duration) {
+		for _, h := range f.hosts {
+			f.setServersCut(h, true)
+			f.afterDelay(d/2, func() { f.setServersCut(h, false) })
+		}
+	}},
 	{"server crashes", func(f *Fleet, _ *host, d time.Duration) {
 		s := f.randomServer()
 		s.crash()
@@ -175,6 +185,13 @@
 	}
 }
 
+// setServersCut cuts a host off from all servers, or joins it again. Callers and other hosts still reach it.
+func (f *Fleet) setServersCut(h *host, cut bool) {
+	for _, s := range f.servers {
+		s.relay.setCut(h.bind, cut)
+	}
+}
+
 // claim reserves a running host for one stop or kill at a time and reports whether that worked.
 func (h *host) claim() bool {
 	h.mu.Lock()
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -91,7 +91,7 @@
 		seeds = append(seeds, s.id)
 	}
 	s := map[string]any{
-		"id": h.id, "bind": h.bind, "name": fmt.Sprint("host-", h.index), "zone": fmt.Sprint("z", h.index%3), "region": "r",
+		"id": h.id, "bind": h.bind, "source": h.bind, "name": fmt.Sprint("host-", h.index), "zone": fmt.Sprint("z", h.index%3), "region": "r",
 		"callers": h.addr(h.bind, portCallers), "control": h.addr(h.bind, portControl), "link_port": h.fleet.port + portLink, "gossip_port": h.fleet.port + portGossip,
 		"seeds": seeds, "found": h.bootstrap, "beat_ms": heartbeatInterval.Milliseconds(), "grace_ms": drainGraceMs, "ttl_ms": 1000,
 		"repeats": map[string]any{"percent": repeatPercent, "fixed": repeatFixed, "window_ms": repeatWindow.Milliseconds()},
--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -151,7 +151,9 @@
 	mu    sync.Mutex
 	fault Fault
 	conns map[net.Conn]bool
-	wait  sync.WaitGroup
+	// cutFrom holds the IP addresses whose connections are reset.
+	cutFrom map[string]bool
+	wait    sync.WaitGroup
 }
 
 func newStreamRelay(listen, to string) (*streamRelay, error) {
@@ -159,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &streamRelay{listener: l, to: to, conns: map[net.Conn]bool{}}
+	r := &streamRelay{listener: l, to: to, conns: map[net.Conn]bool{}, cutFrom: map[string]bool{}}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.wait.Add(1)
 	go r.accept()
@@ -184,18 +186,40 @@
 	return r.fault
 }
 
+// setCut cuts a host off from the target or joins it again.
+func (r *streamRelay) setCut(host string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutFrom[host] = cut
+	for c := range r.conns {
+		if r.isCut(c) {
+			closeWithReset(c)
+		}
+	}
+}
+
+// isCut reports whether a connection comes from a host that is cut off. It is called with mu held.
+func (r *streamRelay) isCut(c net.Conn) bool {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	return err == nil && r.cutFrom[host]
+}
+
 // reset closes every open connection with a TCP RST.
 func (r *streamRelay) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
+		closeWithReset(c)
 	}
 }
 
+func closeWithReset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (r *streamRelay) close() {
 	r.cancel()
 	_ = r.listener.Close()
@@ -220,13 +244,20 @@
 	far, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(r.ctx, "tcp", r.to)
 	if err != nil {
 		// The target is not listening: reset the client's connection, so that the client sees a failure too.
-		_ = near.(*net.TCPConn).SetLinger(0)
-		_ = near.Close()
+		closeWithReset(near)
 		return
 	}
 	r.mu.Lock()
-	r.conns[near], r.conns[far] = true, true
+	cut := r.isCut(near)
+	if !cut {
+		r.conns[near], r.conns[far] = true, true
+	}
 	r.mu.Unlock()
+	if cut {
+		closeWithReset(near)
+		_ = far.Close()
+		return
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/stand/listen.go
+++ b/internal/stand/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,7 +27,11 @@
 			_ = c.Close()
 			continue
 		}
-		return &slowConn{Conn: c, s: l.s}, nil
+		w := &slowConn{Conn: c, s: l.s}
+		if l.s.add(w) {
+			return w, nil
+		}
+		reset(w)
 	}
 }
 
@@ -55,6 +60,52 @@
 
 // Close closes the connection and stops counting it towards the limit.
 func (c *slowConn) Close() error {
-	c.once.Do(func() { c.s.connCount.Add(-1) })
+	c.once.Do(func() {
+		c.s.connCount.Add(-1)
+		c.s.remove(c)
+	})
 	return c.Conn.Close()
 }
+
+// add records an open connection; it returns false if the host at its other end is cut off.
+func (s *server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cutOff(c) {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *server) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// cutOff reports whether the host at the other end of a connection is cut off from the server. It is called with mu held.
+func (s *server) cutOff(c net.Conn) bool {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	return err == nil && slices.Contains(s.fault.CutFrom, host)
+}
+
+// cutConns returns the connections of hosts that are cut off. It is called with mu held.
+func (s *server) cutConns() (list []net.Conn) {
+	for c := range s.conns {
+		if s.cutOff(c) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// reset closes a connection with a TCP reset.
+func reset(c net.Conn) {
+	if w, ok := c.(*slowConn); ok {
+		if t, ok := w.Conn.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+	}
+	_ = c.Close()
+}
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -402,6 +402,7 @@
 	s.mu.Lock()
 	s.fault = f
 	s.limit.name(time.Now(), f.Limit)
+	cut := s.cutConns()
 	if f.Silent {
 		for addr := range s.silenced {
 			s.silenced[addr] = true
@@ -409,6 +410,9 @@
 	}
 	s.addVersion(f)
 	s.mu.Unlock()
+	for _, c := range cut {
+		reset(c)
+	}
 	if f.Kill {
 		s.crash()
 	}
--- a/internal/stand/spec.go
+++ b/internal/stand/spec.go
@@ -88,6 +88,9 @@
 	Drain bool `json:"drain"`
 	// Limit is the number of requests per second that the servers name as their limit; 0 names none.
 	Limit float64 `json:"limit"`
+	// CutFrom lists the IP addresses of hosts that are cut off from the servers: their connections are reset, and new ones
+	// too.
+	CutFrom []string `json:"cut_from"`
 	// Version makes the servers hold a new index version of Shards shards (0: one per group) in addition to the
 	// present ones or, with DropOld, instead of them.
 	Version tier.IndexVersion `json:"version"`
--- a/internal/system/edge_test.go
+++ b/internal/system/edge_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -50,9 +51,9 @@
 		text := fmt.Sprintf(`{
 			// An edge node of a test.
 			"id": %q, "name": "edge-%d", "zone": "z%d", "region": "r", "callers": "%s:%d", "control": "%s:%d",
-			"link_port": %d, "gossip_port": %d, "seeds": %s, "found": true, "data": %q, "beat_ms": 200,
+			"source": %q, "link_port": %d, "gossip_port": %d, "seeds": %s, "found": true, "data": %q, "beat_ms": 200,
 			"tls": {"ca": %q, "cert": %q, "key": %q},
-		}`, ip, i, i, ip, e.port, ip, e.port+1, e.port+2, e.port+3, seeds, filepath.Join(e.dir, ip+".data"),
+		}`, ip, i, i, ip, e.port, ip, e.port+1, ip, e.port+2, e.port+3, seeds, filepath.Join(e.dir, ip+".data"),
 			filepath.Join(e.dir, "tls", "ca.pem"), filepath.Join(e.dir, "tls", ip+".pem"), filepath.Join(e.dir, "tls", ip+".key"))
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		cmd := exec.Command(binary, "edge", "-c", path)
@@ -307,6 +308,54 @@
 	require.NotZero(t, rep.Deaths)
 }
 
+// setFault sets a fault of the stand-in servers.
+func setFault(t *testing.T, admin string, f stand.Fault) {
+	b, err := json.Marshal(f)
+	require.NoError(t, err)
+	resp, err := http.Post("http://"+admin+"/fault", "application/json", bytes.NewReader(b))
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
+// countCut returns how many hosts a node's records show as cut off from the servers.
+func (e *edgeCluster) countCut(ip string) int { return strings.Count(e.statusOf(ip), `"cut":true`) }
+
+// TestCallersOfCutHostsAreServedByOthers cuts one host off from all servers, then all hosts, and joins them again. The
+// callers of the cut host are served by the others; if no host reaches the servers, requests are refused at once.
+func TestCallersOfCutHostsAreServedByOthers(t *testing.T) {
+	e := newEdgeCluster(t)
+	admin := e.startLoad(t)
+	search := func(ip string) int {
+		status, _ := e.get(ip, "a.example", "/search/x")
+		return status
+	}
+	for _, ip := range e.ips {
+		await(t, "a search is served", func() bool { return search(ip) == http.StatusOK })
+	}
+	setFault(t, admin, stand.Fault{Match: "*", CutFrom: e.ips[:1]})
+	await(t, "all hosts know of the cut", func() bool {
+		search(e.ips[0])
+		return e.countCut(e.ips[0]) == 1 && e.countCut(e.ips[1]) == 1 && e.countCut(e.ips[2]) == 1
+	})
+	for range 50 {
+		require.Equal(t, http.StatusOK, search(e.ips[0]), "a search at the cut host")
+		require.Equal(t, http.StatusOK, search(e.ips[1]), "a search at another one")
+	}
+	setFault(t, admin, stand.Fault{Match: "*", CutFrom: e.ips})
+	await(t, "all hosts are cut off", func() bool {
+		search(e.ips[1])
+		search(e.ips[2])
+		return e.countCut(e.ips[0]) == 3
+	})
+	require.Equal(t, http.StatusServiceUnavailable, search(e.ips[0]))
+	setFault(t, admin, stand.Fault{Match: "*"})
+	await(t, "all hosts reach the servers again", func() bool { return e.countCut(e.ips[0]) == 0 })
+	for _, ip := range e.ips {
+		await(t, "a search is served", func() bool { return search(ip) == http.StatusOK })
+	}
+}
+
 // TestServersOfAFleetGetNoMoreThanTheirLimits sends searches through three nodes while servers of one shard name limits
 // below what they get, first two of them and then all.
 func TestServersOfAFleetGetNoMoreThanTheirLimits(t *testing.T) {
