Planned stop: requests that came late are refused, and unfinished ones answered

Cause: from half of the grace period on the host only finishes requests, but took those that arrived on connections still open whatever time they might need; at the end the process closed the connections of all that were not finished.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -29,7 +29,9 @@
 		return
 	}
 	defer room.Release()
-	out := n.forwarder.Forward(r.Context(), in)
+	ctx, cancel := n.withinGrace(r.Context())
+	defer cancel()
+	out := n.forwarder.Forward(ctx, in)
 	if out.Release != nil {
 		defer out.Release()
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -93,9 +93,14 @@
 	stopping     atomic.Bool
 	stopped      chan struct{}
 	stopOnce     sync.Once
-	ctx          context.Context
-	servers      []server
-	logged       loggedState
+	// grace ends when requests get their final answers during a graceful shutdown; graceEnd is that time, once the node only
+	// finishes requests.
+	grace    context.Context
+	endGrace context.CancelFunc
+	graceEnd atomic.Pointer[time.Time]
+	ctx      context.Context
+	servers  []server
+	logged   loggedState
 	// usage is accessed by maintain only.
 	usage usage
 }
@@ -104,6 +109,7 @@
 func (n *Node) Build() {
 	n.boot = uint64(time.Now().UnixMilli())
 	n.stopped = make(chan struct{})
+	n.grace, n.endGrace = context.WithCancel(context.Background())
 	n.tableChanged = make(chan struct{}, 1)
 	n.workers = &work.Pool{}
 	n.buildLimits()
@@ -132,6 +138,7 @@
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
 		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
+		GraceLeft: n.graceLeft,
 	}
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -68,7 +68,7 @@
 	if s.Recv(&w) != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := n.withinGrace(ctx)
 	defer cancel()
 	n.workers.Go(func() {
 		defer cancel()
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -24,6 +24,8 @@
 	// shortRetryAfter is the retry delay for callers of a node that is not ready yet or finds
 	// no server: membership changes take a few hundred milliseconds to arrive.
 	shortRetryAfter = 300 * time.Millisecond
+	// drainRetryAfter is the retry delay for callers of a node that is about to stop: other nodes are ready.
+	drainRetryAfter = 50 * time.Millisecond
 	// initialLatencyDivisor divides a route's target to estimate the latency of its answers
 	// until the first one is measured. It assumes that the work sent to servers fits the
 	// target.
@@ -107,6 +109,9 @@
 	// RelayTo sends a request through another node and returns its answer; nil disables relaying. The error wraps
 	// conn.ErrNotSent if that node did not receive the request.
 	RelayTo func(ctx context.Context, peer tier.NodeID, in *Inbound) (Outbound, error)
+	// GraceLeft returns how much time is left for requests while this node only finishes them before it stops; ok is false
+	// at other times. nil means never.
+	GraceLeft func() (left time.Duration, ok bool)
 	// Self is this node.
 	Self tier.NodeID
 	// RoutesRecent reports whether the routing table is recent enough to say that a route does not
@@ -239,6 +244,9 @@
 	if r == nil {
 		return Outbound{Status: http.StatusNotFound, Reason: tier.ReasonNoRoute}
 	}
+	if d.outlastsGrace(in, r) {
+		return refusal(tier.ReasonDraining, drainRetryAfter)
+	}
 	f := &forwarding{forwarder: d, route: r, in: in, routesVersion: table.Version, fingerprint: Fingerprint(tier.Service(in.Host+in.Target), in.Body)}
 	if hold := d.quarantineRemaining(f.fingerprint); hold > 0 {
 		event.RequestQuarantined.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.fingerprint})
@@ -277,6 +285,23 @@
 	return d.suspects.Blame(d.Clock.Now(), f, id)
 }
 
+// timeLeft returns how long the caller of a request on a route will wait.
+func (in *Inbound) timeLeft(r *vers.Route) time.Duration {
+	if in.TimeLeft > 0 {
+		return min(r.Timeout, in.TimeLeft)
+	}
+	return r.Timeout
+}
+
+// outlastsGrace reports whether this node may stop before the request has been answered.
+func (d *Forwarder) outlastsGrace(in *Inbound, r *vers.Route) bool {
+	if d.GraceLeft == nil {
+		return false
+	}
+	left, stopping := d.GraceLeft()
+	return stopping && in.timeLeft(r) > left
+}
+
 func refusal(why tier.Reason, after time.Duration) Outbound {
 	return Outbound{Status: http.StatusServiceUnavailable, Reason: why, RetryAfter: after}
 }
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -105,10 +105,7 @@
 // counts against the route's.
 func (f *forwarding) setDeadlines(now time.Duration) {
 	r := f.route
-	left := r.Timeout
-	if f.in.TimeLeft > 0 {
-		left = min(left, f.in.TimeLeft)
-	}
+	left := f.in.timeLeft(r)
 	f.deadline = now + left
 	f.target = now + r.Objective() - (r.Timeout - left)
 }
--- a/internal/reqst/relay.go
+++ b/internal/reqst/relay.go
@@ -67,11 +67,7 @@
 // relay sends a request through another node, because this one is cut off from the servers. ok is false if no node
 // received it; the request has then not run.
 func (d *Forwarder) relay(ctx context.Context, in *Inbound, r *vers.Route, version vers.RoutesVersion, began time.Duration) (out Outbound, ok bool) {
-	left := r.Timeout
-	if in.TimeLeft > 0 {
-		left = min(left, in.TimeLeft)
-	}
-	deadline := began + left
+	deadline := began + in.timeLeft(r)
 	for range maxRelays {
 		now := d.Clock.Now()
 		peer, found := d.pickRelay(now)
