Test: changes are accepted after disks were full one after another

Cause: not here: a replica whose disk refuses a write stops, reads its state again every 0.5 s, truncates a torn record and goes on once there is room.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -148,7 +148,7 @@
 func (n *Node) newReplica(path string) *ctrl.Replica {
 	s := &n.Settings
 	r := &ctrl.Replica{
-		Node: s.ID, Folder: &disk.Folder{Path: path, Node: s.ID, Founder: n.isFounder(), Stats: n.Stats},
+		Node: s.ID, Folder: &disk.Folder{Path: path, Node: s.ID, Founder: n.isFounder(), OpenLog: n.openLog, Stats: n.Stats},
 		Sender: n.raft, Clock: n.LeaseClock, Log: n.Log, CompactAfter: compactAfter, Ready: make(chan struct{}),
 		Hosts: n.replicaHosts, Tolerance: s.Tolerance, NoHub: true, RoutesChanged: n.installRoutes,
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -76,6 +76,9 @@
 	// Listeners are the HTTP interfaces; set them between Build and Run.
 	Listeners []Listener
 
+	// openLog opens the log of the control replica; nil means the real file.
+	openLog func(path string) (tier.File, error)
+
 	boot         uint64
 	budget       *conn.Budget
 	answers      conn.AnswerLimits
