Edge nodes: a server that says in an answer that it leaves gets no more requests

Change: the table of statements keeps it for the start of the server that said it; the first host that hears tells all; the choice of servers leaves it out at once. If all servers of a shard leave, the request is refused at once. Measured: TestLeavingServerGetsNoMoreRequests (nine nodes, 180 requests a second, none arrives half a second later; before, the server got a third of them) and TestLeavingServerOfOneHostIsLeftByAll pass.

--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -90,6 +90,7 @@
 	ServersOutOfReach   = Event{314, logrus.WarnLevel, "reach of servers changed", "This node has lost most of the servers that it tried lately, so that it seems to be cut off from them, or reaches them again. Fields: cut, tried (servers tried lately), lost (those without an answer)."}
 	RelayFailed         = Event{315, logrus.WarnLevel, "relay failed", "This node is cut off from the servers and passed a request to another node, which did not answer in time. Fields: request, route, peer."}
 	RequestDiverted     = Event{316, logrus.InfoLevel, "request diverted", "This node turned out to be cut off while the request waited for servers; it goes on through another node. Fields: request, route, after_ms."}
+	ServerLeaving       = Event{317, logrus.InfoLevel, "server leaves", "A server said in an answer that it is about to stop; it gets no more requests. Fields: server."}
 	RecordFailed        = Event{309, logrus.WarnLevel, "write record failed", "The outcome could not be recorded in time; a resend of the write gets the outcome unknown. Fields: claim."}
 )
 
@@ -99,5 +100,5 @@
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
 	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
-	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted,
+	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving,
 }
--- a/internal/proc/terms/statement.go
+++ b/internal/proc/terms/statement.go
@@ -27,6 +27,8 @@
 	// LimitState tells whether the answer names a limit; Limit is the rate that the server accepts from all hosts together.
 	LimitState Validity
 	Limit      Rate
+	// Leaving is set if the server is about to stop and wants no more requests.
+	Leaving bool
 }
 
 // ParseLimit parses the value of a limit header: a decimal number that is not negative.
@@ -41,3 +43,9 @@
 	}
 	return Rate(v), Stated
 }
+
+// ParseLeaving parses the value of a header that says whether the server leaves; a malformed value says nothing.
+func ParseLeaving(s string) bool {
+	leaving, err := strconv.ParseBool(strings.TrimSpace(s))
+	return err == nil && leaving
+}
--- a/internal/proc/terms/statement_test.go
+++ b/internal/proc/terms/statement_test.go
@@ -30,3 +30,12 @@
 		require.InDelta(t, float64(c.limit), float64(limit), 1e-9, c.text)
 	}
 }
+
+func TestParseLeaving(t *testing.T) {
+	for _, c := range []struct {
+		text    string
+		leaving bool
+	}{{"1", true}, {" true ", true}, {"", false}, {"0", false}, {"soon", false}} {
+		require.Equal(t, c.leaving, ParseLeaving(c.text), c.text)
+	}
+}
--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -26,6 +26,8 @@
 	minRate Rate = 0.25
 	// changeTolerance is the relative change of a limit of which the fleet is told at once.
 	changeTolerance = 0.1
+	// leavingWait is the wait that is told to callers if all servers leave: others take their place.
+	leavingWait = time.Second
 	// maxWait bounds the time until a permit that is told to callers.
 	maxWait = time.Minute
 )
@@ -52,10 +54,14 @@
 	// Limited is set if the server names a limit, Limit. Otherwise its limit has ended.
 	Limited bool `cbor:"3,keyasint,omitempty"`
 	Limit   Rate `cbor:"4,keyasint,omitempty"`
+	// Leaving is set if the server is about to stop.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
 }
 
 type server struct {
-	born    int64
+	born int64
+	// leaving is set once the server has said that it is about to stop; only another start of it gets requests again.
+	leaving bool
 	limited bool
 	limit   Rate
 	// statedAt is when the limit was last named, endedAt when it ended.
@@ -112,19 +118,27 @@
 	return s
 }
 
-// Record records the statement of an answer to this host. It reports whether the server named its first limit or none any
-// more, and whether other hosts are to be told.
+// Record records the statement of an answer to this host. It reports whether the server named its first limit, none any
+// more, or that it leaves, and whether other hosts are to be told.
 func (t *Table) Record(now time.Duration, id tier.ServerID, born int64, st Statement) (changed, tell bool) {
-	s := t.find(now, id, born, st.LimitState == Stated)
-	switch {
-	case s == nil || st.LimitState == Malformed:
+	s := t.find(now, id, born, st.LimitState == Stated || st.Leaving)
+	if s == nil {
+		return false, false
+	}
+	if st.Leaving && !s.leaving {
+		s.leaving = true
+		return true, true
+	}
+	switch st.LimitState {
+	case Malformed:
 		return false, false
-	case st.LimitState == Absent:
+	case Absent:
 		ended := s.limited && now-s.statedAt > reorderWindow
 		if ended {
 			s.end(now)
 		}
 		return ended, ended
+	case Stated:
 	}
 	changed = !s.active(now)
 	s.name(now, st.Limit)
@@ -137,9 +151,11 @@
 
 // Receive records a notice of another host.
 func (t *Table) Receive(now time.Duration, n Notice) {
-	s := t.find(now, n.Server, n.Born, n.Limited)
+	s := t.find(now, n.Server, n.Born, n.Limited || n.Leaving)
 	switch {
 	case s == nil:
+	case n.Leaving:
+		s.leaving = true
 	case n.Limited:
 		s.name(now, n.Limit)
 		s.toldAt, s.told = now, n.Limit
@@ -154,7 +170,7 @@
 	if s == nil {
 		return Notice{}, false
 	}
-	return Notice{Server: id, Born: s.born, Limited: s.limited, Limit: s.limit}, true
+	return Notice{Server: id, Born: s.born, Limited: s.limited, Limit: s.limit, Leaving: s.leaving}, true
 }
 
 func (s *server) name(now time.Duration, limit Rate) {
@@ -187,6 +203,9 @@
 	if s == nil || s.born < t.Born(id) {
 		return true, now
 	}
+	if s.leaving {
+		return false, now + leavingWait
+	}
 	rate, limited := s.rate(now)
 	if !limited {
 		return true, now
--- a/internal/proc/terms/table_test.go
+++ b/internal/proc/terms/table_test.go
@@ -56,6 +56,8 @@
 		{"nobody has heard of it for long", []answer{{0, 1, stated(20)}}, limitTTL + easingTime, unlimited},
 		{"another start of the server", []answer{{0, 1, stated(20)}, {second, 2, Statement{}}}, second, unlimited},
 		{"an earlier start of the server", []answer{{0, 2, stated(20)}, {second, 1, Statement{}}}, second, 10},
+		{"leaving", []answer{{0, 1, Statement{Leaving: true}}, {second, 1, Statement{}}}, time.Hour, 0},
+		{"leaving, then another start of the server", []answer{{0, 1, Statement{Leaving: true}}, {second, 2, Statement{}}}, second, unlimited},
 		{"zero is tried now and then", []answer{{0, 1, stated(0)}}, second, 0.125},
 	} {
 		table := newTable(0.5)
@@ -110,3 +112,22 @@
 	}
 	require.LessOrEqual(t, burst, 6)
 }
+
+// TestLeavingServerOfOneHostIsLeftByAll: the fleet is told once, and a notice of an earlier start of the server says
+// nothing of the present one.
+func TestLeavingServerOfOneHostIsLeftByAll(t *testing.T) {
+	first, other := newTable(1), newTable(1)
+	changed, tell := first.Record(0, "a", 1, Statement{Leaving: true})
+	require.True(t, changed)
+	require.True(t, tell)
+	_, tell = first.Record(second, "a", 1, Statement{Leaving: true})
+	require.False(t, tell)
+	n, ok := first.Notice("a")
+	require.True(t, ok)
+	other.Receive(second, n)
+	allowed, _ := other.Allowed(second, "a")
+	require.False(t, allowed)
+	other.Born = func(tier.ServerID) int64 { return 2 }
+	allowed, _ = other.Allowed(second, "a")
+	require.True(t, allowed, "the server has started again")
+}
--- a/internal/reqst/terms.go
+++ b/internal/reqst/terms.go
@@ -61,13 +61,16 @@
 
 // recordStatement records what a server states in the header of an answer. It is called with mu held.
 func (d *Forwarder) recordStatement(now time.Duration, id tier.ServerID, born int64, h http.Header) {
-	if h == nil || d.Names.Limit == "" {
+	if h == nil {
 		return
 	}
-	var st terms.Statement
+	st := terms.Statement{Leaving: terms.ParseLeaving(h.Get(d.Names.Leaving))}
 	st.Limit, st.LimitState = terms.ParseLimit(h.Get(d.Names.Limit))
 	changed, tell := d.terms.Record(now, id, born, st)
-	if changed {
+	switch {
+	case changed && st.Leaving:
+		event.ServerLeaving.Log(d.Log, nil, logrus.Fields{"server": id})
+	case changed:
 		event.ServerLimitChanged.Log(d.Log, nil, logrus.Fields{"server": id, "limited": st.LimitState == terms.Stated, "limit": st.Limit})
 	}
 	if n, ok := d.terms.Notice(id); ok && tell && d.Notify != nil {
--- a/internal/reqst/terms_test.go
+++ b/internal/reqst/terms_test.go
@@ -33,6 +33,7 @@
 	nodes   []*Forwarder
 	servers []tier.Candidate
 	limits  map[tier.ServerID]string
+	leaving map[tier.ServerID]bool
 	// arrivals holds the times of the requests to each server, refused the number that no server accepted.
 	arrivals map[tier.ServerID][]time.Duration
 	refused  int
@@ -88,6 +89,9 @@
 	if v := f.limits[id]; v != "" {
 		h.Set(d.Names.Limit, v)
 	}
+	if f.leaving[id] {
+		h.Set(d.Names.Leaving, "1")
+	}
 	f.answers = append(f.answers, limitedAnswer{f.clock.now + limitedRoundTrip, d, id, h})
 }
 
@@ -204,3 +208,18 @@
 	require.Less(t, perSecond[2], 120, "%v", perSecond)
 	require.Greater(t, perSecond[8], 150, "%v", perSecond)
 }
+
+// TestLeavingServerGetsNoMoreRequests: a server says in its answers that it leaves. No node sends it anything half a second
+// later, also none that has had no answer of its own.
+func TestLeavingServerGetsNoMoreRequests(t *testing.T) {
+	f := newLimitedFleet(t, 9, 1)
+	f.run(2*time.Second, 180, f.anyNode)
+	f.leaving = map[tier.ServerID]bool{"s0": true}
+	left := f.clock.now
+	f.run(5*time.Second, 180, f.anyNode)
+	require.Zero(t, f.maxInWindow("s0", left+500*time.Millisecond))
+	require.Zero(t, f.refused)
+	f.leaving = map[tier.ServerID]bool{"s0": true, "s1": true, "s2": true}
+	f.run(time.Second, 180, f.anyNode)
+	require.Positive(t, f.refused, "no server is left")
+}
--- a/pkg/tier/headers.go
+++ b/pkg/tier/headers.go
@@ -24,12 +24,14 @@
 	Load string
 	// Limit is the number of requests per second that a server accepts from all hosts together.
 	Limit string
+	// Leaving says that a server is about to stop.
+	Leaving string
 }
 
 // DefaultHeaders returns the product's own header names.
 func DefaultHeaders() HeaderNames {
 	return HeaderNames{
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Expect: "X-Expect-Server", Server: HeaderServer,
-		Missing: "X-Missing-Parts", NotRun: HeaderNotRun, Load: HeaderLoad, Limit: HeaderLimit,
+		Missing: "X-Missing-Parts", NotRun: HeaderNotRun, Load: HeaderLoad, Limit: HeaderLimit, Leaving: HeaderLeaving,
 	}
 }
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -164,5 +164,6 @@
 	HeaderNotRun    = "X-Not-Run"
 	HeaderLoad      = "X-Load"
 	HeaderLimit     = "X-Server-Limit"
+	HeaderLeaving   = "X-Server-Leaving"
 	HeaderServer    = "X-Server"
 )
