Edge nodes: a server's Retry-After with 503 is kept

Cause: the value was read by nobody; a server that had refused a request counted as full for 150 ms, and got the next one then. Change: the table of statements keeps until when a server wants nothing from this host; the choice of servers leaves it out. The word is meant for the host that got it, so the others are not told. Seconds, fractions too; malformed or negative values say nothing; an hour at most.

--- a/internal/proc/terms/statement.go
+++ b/internal/proc/terms/statement.go
@@ -7,8 +7,12 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 )
 
+// maxPause bounds the pause that a server may ask for.
+const maxPause = time.Hour
+
 // Rate is a number of requests per second.
 type Rate float64
 
@@ -29,6 +33,8 @@
 	Limit      Rate
 	// Leaving is set if the server is about to stop and wants no more requests.
 	Leaving bool
+	// Pause is how long the server wants no requests from this host; 0 means that it did not say.
+	Pause time.Duration
 }
 
 // ParseLimit parses the value of a limit header: a decimal number that is not negative.
@@ -49,3 +55,13 @@
 	leaving, err := strconv.ParseBool(strings.TrimSpace(s))
 	return err == nil && leaving
 }
+
+// ParsePause parses the number of seconds in a refusal after which a server accepts requests of this host again. A malformed
+// value says nothing.
+func ParsePause(s string) time.Duration {
+	v, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
+	if err != nil || !(v > 0) {
+		return 0
+	}
+	return time.Duration(min(v, maxPause.Seconds()) * float64(time.Second))
+}
--- a/internal/proc/terms/statement_test.go
+++ b/internal/proc/terms/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -39,3 +40,21 @@
 		require.Equal(t, c.leaving, ParseLeaving(c.text), c.text)
 	}
 }
+
+func TestParsePause(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		pause time.Duration
+	}{
+		{"2", 2 * time.Second},
+		{" 0.25 ", 250 * time.Millisecond},
+		{"1e12", maxPause},
+		{"", 0},
+		{"0", 0},
+		{"-1", 0},
+		{"NaN", 0},
+		{"Fri, 04 Dec 2026 20:00:00 GMT", 0},
+	} {
+		require.Equal(t, c.pause, ParsePause(c.text), c.text)
+	}
+}
--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -62,8 +62,10 @@
 	born int64
 	// leaving is set once the server has said that it is about to stop; only another start of it gets requests again.
 	leaving bool
-	limited bool
-	limit   Rate
+	// pausedUntil is until when the server wants no requests from this host.
+	pausedUntil time.Duration
+	limited     bool
+	limit       Rate
 	// statedAt is when the limit was last named, endedAt when it ended.
 	statedAt, endedAt time.Duration
 	// toldAt and told are the time and the limit of the last notice sent or received.
@@ -121,10 +123,13 @@
 // Record records the statement of an answer to this host. It reports whether the server named its first limit, none any
 // more, or that it leaves, and whether other hosts are to be told.
 func (t *Table) Record(now time.Duration, id tier.ServerID, born int64, st Statement) (changed, tell bool) {
-	s := t.find(now, id, born, st.LimitState == Stated || st.Leaving)
+	s := t.find(now, id, born, st.LimitState == Stated || st.Leaving || st.Pause > 0)
 	if s == nil {
 		return false, false
 	}
+	if st.Pause > 0 {
+		s.pausedUntil = max(s.pausedUntil, now+st.Pause)
+	}
 	if st.Leaving && !s.leaving {
 		s.leaving = true
 		return true, true
@@ -206,6 +211,9 @@
 	if s.leaving {
 		return false, now + leavingWait
 	}
+	if now < s.pausedUntil {
+		return false, min(s.pausedUntil, now+maxWait)
+	}
 	rate, limited := s.rate(now)
 	if !limited {
 		return true, now
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -64,7 +64,7 @@
 	ratio := float64(took) / float64(a.kind.Base)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.recordStatement(now, id, a.born, rep.answer.Header)
+	d.recordStatement(now, id, a.born, rep.answer.Status, rep.answer.Header)
 	d.recordReach(now, id, rep)
 	b := d.Board
 	b.RecordEnded(id)
--- a/internal/reqst/terms.go
+++ b/internal/reqst/terms.go
@@ -59,13 +59,22 @@
 	return terms.First
 }
 
-// recordStatement records what a server states in the header of an answer. It is called with mu held.
-func (d *Forwarder) recordStatement(now time.Duration, id tier.ServerID, born int64, h http.Header) {
+// statement returns what a server states in an answer.
+func (d *Forwarder) statement(status int, h http.Header) terms.Statement {
+	st := terms.Statement{Leaving: terms.ParseLeaving(h.Get(d.Names.Leaving))}
+	st.Limit, st.LimitState = terms.ParseLimit(h.Get(d.Names.Limit))
+	if status == http.StatusServiceUnavailable {
+		st.Pause = terms.ParsePause(h.Get("Retry-After"))
+	}
+	return st
+}
+
+// recordStatement records what a server states in an answer. It is called with mu held.
+func (d *Forwarder) recordStatement(now time.Duration, id tier.ServerID, born int64, status int, h http.Header) {
 	if h == nil {
 		return
 	}
-	st := terms.Statement{Leaving: terms.ParseLeaving(h.Get(d.Names.Leaving))}
-	st.Limit, st.LimitState = terms.ParseLimit(h.Get(d.Names.Limit))
+	st := d.statement(status, h)
 	changed, tell := d.terms.Record(now, id, born, st)
 	switch {
 	case changed && st.Leaving:
--- a/internal/reqst/terms_test.go
+++ b/internal/reqst/terms_test.go
@@ -34,6 +34,8 @@
 	servers []tier.Candidate
 	limits  map[tier.ServerID]string
 	leaving map[tier.ServerID]bool
+	// pauses holds the Retry-After with which servers refuse requests.
+	pauses map[tier.ServerID]string
 	// arrivals holds the times of the requests to each server, refused the number that no server accepted.
 	arrivals map[tier.ServerID][]time.Duration
 	refused  int
@@ -45,6 +47,7 @@
 	at     time.Duration
 	node   *Forwarder
 	server tier.ServerID
+	status int
 	header http.Header
 }
 
@@ -92,7 +95,12 @@
 	if f.leaving[id] {
 		h.Set(d.Names.Leaving, "1")
 	}
-	f.answers = append(f.answers, limitedAnswer{f.clock.now + limitedRoundTrip, d, id, h})
+	status := http.StatusOK
+	if v := f.pauses[id]; v != "" {
+		status = http.StatusServiceUnavailable
+		h.Set("Retry-After", v)
+	}
+	f.answers = append(f.answers, limitedAnswer{f.clock.now + limitedRoundTrip, d, id, status, h})
 }
 
 // run sends rate requests a second to the nodes, chosen by pick.
@@ -105,7 +113,7 @@
 		for len(f.answers) > 0 && f.answers[0].at <= f.clock.now {
 			a := f.answers[0]
 			f.answers = f.answers[1:]
-			a.node.recordStatement(f.clock.now, a.server, 1, a.header)
+			a.node.recordStatement(f.clock.now, a.server, 1, a.status, a.header)
 		}
 		for _, n := range f.notices {
 			for _, d := range f.nodes {
@@ -223,3 +231,19 @@
 	f.run(time.Second, 180, f.anyNode)
 	require.Positive(t, f.refused, "no server is left")
 }
+
+// TestServerThatAsksForAPauseGetsNoRequests: a server refuses requests with Retry-After. A node that it has told sends nothing
+// until then; the other nodes, each of which it tells by itself, do not matter to it.
+func TestServerThatAsksForAPauseGetsNoRequests(t *testing.T) {
+	f := newLimitedFleet(t, 3, 1)
+	f.pauses = map[tier.ServerID]string{"s0": "4.5"}
+	f.run(4*time.Second, 180, f.anyNode)
+	require.NotEmpty(t, f.arrivals["s0"])
+	require.LessOrEqual(t, len(f.arrivals["s0"]), 2*len(f.nodes), "what was on its way when the first refusal came")
+	require.Zero(t, f.maxInWindow("s0", time.Hour+500*time.Millisecond), "half a second later")
+	require.Zero(t, f.refused)
+	f.pauses = map[tier.ServerID]string{}
+	before := len(f.arrivals["s0"])
+	f.run(3*time.Second, 180, f.anyNode)
+	require.Greater(t, len(f.arrivals["s0"]), before+50, "the pause has ended")
+}
