Statements of servers: a server without a known start leaves for a minute

Cause: reading: starts of a server that announces no start can't be told apart, so one that said once that it leaves would have got nothing ever after. Change: its word counts for a minute. Measured: the two new rows of TestEffectOfStatements pass; the second one failed before.

--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -26,6 +26,8 @@
 	minRate Rate = 0.25
 	// changeTolerance is the relative change of a limit of which the fleet is told at once.
 	changeTolerance = 0.1
+	// leavingTTL is how long the word of a server without a known start counts that it leaves.
+	leavingTTL = time.Minute
 	// leavingWait is the wait that is told to callers if all servers leave: others take their place.
 	leavingWait = time.Second
 	// maxWait bounds the time until a permit that is told to callers.
@@ -60,8 +62,9 @@
 
 type server struct {
 	born int64
-	// leaving is set once the server has said that it is about to stop; only another start of it gets requests again.
-	leaving bool
+	// leaving is set once the server has said that it is about to stop, at leavingAt.
+	leaving   bool
+	leavingAt time.Duration
 	// pausedUntil is until when the server wants no requests from this host.
 	pausedUntil time.Duration
 	limited     bool
@@ -131,7 +134,7 @@
 		s.pausedUntil = max(s.pausedUntil, now+st.Pause)
 	}
 	if st.Leaving && !s.leaving {
-		s.leaving = true
+		s.leave(now)
 		return true, true
 	}
 	switch st.LimitState {
@@ -160,7 +163,7 @@
 	switch {
 	case s == nil:
 	case n.Leaving:
-		s.leaving = true
+		s.leave(now)
 	case n.Limited:
 		s.name(now, n.Limit)
 		s.toldAt, s.told = now, n.Limit
@@ -182,6 +185,18 @@
 	s.limited, s.limit, s.statedAt = true, limit, now
 }
 
+func (s *server) leave(now time.Duration) {
+	if !s.leaving {
+		s.leaving, s.leavingAt = true, now
+	}
+}
+
+// left reports whether the server wants no more requests. Only another start of it gets requests again. Starts of a server
+// that does not say when it started can't be told apart, so that its word counts for leavingTTL.
+func (s *server) left(now time.Duration) bool {
+	return s.leaving && (s.born != 0 || now-s.leavingAt < leavingTTL)
+}
+
 func (s *server) end(now time.Duration) { s.limited, s.endedAt = false, now }
 
 // active reports whether a limit counts.
@@ -208,7 +223,7 @@
 	if s == nil || s.born < t.Born(id) {
 		return true, now
 	}
-	if s.leaving {
+	if s.left(now) {
 		return false, now + leavingWait
 	}
 	if now < s.pausedUntil {
--- a/internal/proc/terms/table_test.go
+++ b/internal/proc/terms/table_test.go
@@ -61,10 +61,13 @@
 		{"after a pause", []answer{{0, 1, Statement{Pause: 3 * second}}}, 3 * second, unlimited},
 		{"leaving", []answer{{0, 1, Statement{Leaving: true}}, {second, 1, Statement{}}}, time.Hour, 0},
 		{"leaving, then another start of the server", []answer{{0, 1, Statement{Leaving: true}}, {second, 2, Statement{}}}, second, unlimited},
+		{"leaving, start not known", []answer{{0, 0, Statement{Leaving: true}}}, second, 0},
+		{"leaving, start not known, long ago", []answer{{0, 0, Statement{Leaving: true}}}, leavingTTL, unlimited},
 		{"zero is tried now and then", []answer{{0, 1, stated(0)}}, second, 0.125},
 	} {
 		table := newTable(0.5)
 		for _, a := range c.answers {
+			table.Born = func(tier.ServerID) int64 { return min(a.born, 1) }
 			table.Record(a.at, "a", a.born, a.st)
 		}
 		require.InDelta(t, c.rate, rateOf(table, c.at), max(0.1*c.rate, 0.25), c.name)
