--- a/internal/system/load_test.go
+++ b/internal/system/load_test.go
@@ -257,6 +257,7 @@
 	quarantined := false
 	for i := 0; i < 40 && !quarantined; i++ {
 		a := f.query(f.nodes[i%3], `{"x":"poison"}`)
+		t.Logf("%s: query %d at node %d: %s %s, missing %+v, %d deaths", time.Now().UTC().Format("05.000"), i, i%3, a.Outcome, a.Reason, a.Missing, f.counters().Total.Deaths)
 		require.NotEqual(t, tier.Done, a.Outcome)
 		require.Positive(t, a.RetryAfterMs, "the answer must say when to retry")
 		quarantined = a.Outcome == tier.NotRun && a.Reason == tier.ReasonQuarantine
