Cut hosts: failed relays use up a request's time, servers that are gone do not prolong a cut, lists look beyond the region

Cause: reading. A request whose relays failed started with all of its time again at the own servers, past its route's limit. Servers whose leases had ended counted as lost for up to a minute. Callers of a region whose hosts are all cut off got these hosts, though another region had sound ones. Change: what is left is the time of the request, and without any it is refused as not run; gone servers are dropped while the host counts as cut off; sound hosts of any region come before cut ones. Forward is split.

--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -23,11 +23,7 @@
 }
 
 func pickEntries(hosts []spread.Host, zone tier.Zone, region tier.Region) []string {
-	list := usableHosts(hosts, func(h *spread.Host) bool { return h.Region == region })
-	if len(list) == 0 {
-		list = usableHosts(hosts, func(*spread.Host) bool { return true })
-	}
-	list = strongHosts(list)
+	list := strongHosts(usableHosts(hosts, region))
 	var sameZone []*spread.Host
 	for _, h := range list {
 		if h.Zone == zone {
@@ -40,13 +36,17 @@
 	return addresses(list)
 }
 
-// usableHosts returns the ready hosts that reach the servers, or all ready hosts if none does.
-func usableHosts(hosts []spread.Host, match func(*spread.Host) bool) []*spread.Host {
-	ready := readyHosts(hosts, match)
-	if connected := reachingHosts(ready); len(connected) > 0 {
-		return connected
+// usableHosts returns the ready hosts of a region that reach the servers, else those of the whole fleet, else the ready hosts of
+// the region, else all.
+func usableHosts(hosts []spread.Host, region tier.Region) []*spread.Host {
+	all := readyHosts(hosts, func(*spread.Host) bool { return true })
+	own := readyHosts(hosts, func(h *spread.Host) bool { return h.Region == region })
+	for _, list := range [][]*spread.Host{reachingHosts(own), reachingHosts(all), own} {
+		if len(list) > 0 {
+			return list
+		}
 	}
-	return ready
+	return all
 }
 
 // reachingHosts leaves out the hosts that are cut off from the servers.
--- a/internal/edge/reach_test.go
+++ b/internal/edge/reach_test.go
@@ -24,6 +24,7 @@
 		{"none is cut off", []spread.Host{host("a", "z", false), host("b", "z", false), host("c", "y", false)}, []string{"a", "b"}, []tier.NodeID{"b", "c"}},
 		{"one of the zone", []spread.Host{host("a", "z", false), host("b", "z", true), host("c", "y", false)}, []string{"a", "c"}, []tier.NodeID{"c"}},
 		{"the zone", []spread.Host{host("a", "z", true), host("b", "z", true), host("c", "y", false)}, []string{"c"}, []tier.NodeID{"c"}},
+		{"the region", []spread.Host{host("a", "z", true), host("b", "z", true), {ID: "d", Zone: "x", Region: "s", Callers: "d", Ready: true}}, []string{"d"}, []tier.NodeID{"d"}},
 		{"all", []spread.Host{host("a", "z", true), host("b", "z", true), host("c", "y", true)}, []string{"a", "b"}, nil},
 	} {
 		require.Equal(t, c.entries, pickEntries(c.hosts, "z", "r"), c.name)
--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -257,15 +257,6 @@
 	}
 }
 
-// Limit returns the limit that a server names; ok is false if it names none.
-func (t *Table) Limit(now time.Duration, id tier.ServerID) (limit Rate, ok bool) {
-	s := t.servers[id]
-	if s == nil || !s.active(now) {
-		return 0, false
-	}
-	return s.limit, true
-}
-
 // Limited returns the number of servers with a limit.
 func (t *Table) Limited(now time.Duration) (n int) {
 	for _, s := range t.servers {
--- a/internal/proc/terms/table_test.go
+++ b/internal/proc/terms/table_test.go
@@ -98,9 +98,10 @@
 	table.Receive(12*second, Notice{Server: "a", Born: 1, Limited: true, Limit: 5})
 	_, tell := table.Record(13*second, "a", 1, stated(5))
 	require.False(t, tell, "another host has told the fleet")
-	limit, ok := table.Limit(13*second, "a")
+	n, ok := table.Notice("a")
 	require.True(t, ok)
-	require.InDelta(t, 5, float64(limit), 0)
+	require.True(t, n.Limited)
+	require.InDelta(t, 5, float64(n.Limit), 0)
 }
 
 // TestUnusedPermitsExpire: hosts that have sent nothing for long do not all send at once.
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -162,12 +162,13 @@
 func (d *Forwarder) ForgetGone() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := func(id tier.ServerID) bool { return d.Directory.Direct(id) != nil }
-	d.Board.Forget(known)
-	d.terms.Forget(known)
-	d.reach.Forget(known)
+	d.Board.Forget(d.known)
+	d.terms.Forget(d.known)
+	d.reach.Forget(d.known)
 }
 
+func (d *Forwarder) known(id tier.ServerID) bool { return d.Directory.Direct(id) != nil }
+
 // Served returns the number of requests received since the start.
 func (d *Forwarder) Served() int64 { return d.served.Load() }
 
@@ -252,23 +253,38 @@
 		event.RequestQuarantined.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.fingerprint})
 		return refusal(tier.ReasonQuarantine, hold)
 	}
-	began := d.Clock.Now()
+	out, done := d.serve(ctx, f, table.Version)
+	if done {
+		return out
+	}
+	out.Release = f.reservations.Release
+	f.log(&out)
+	return out
+}
+
+// serve sends a request to the servers, or through another node while this one is cut off from them. done is set if no
+// server was chosen here.
+func (d *Forwarder) serve(ctx context.Context, f *forwarding, version vers.RoutesVersion) (out Outbound, done bool) {
+	in, r, began := f.in, f.route, d.Clock.Now()
 	if d.cut.Load() && d.relayable(in) {
-		if out, ok := d.relay(ctx, in, r, table.Version, began); ok {
-			return out
+		if out, done = d.relay(ctx, in, r, version, began); done {
+			return out, true
+		}
+		left := began + in.timeLeft(r) - d.Clock.Now()
+		if left <= 0 {
+			return refusal(tier.ReasonIsolated, shortRetryAfter), true
 		}
+		rest := *in
+		rest.TimeLeft = left
+		f.in = &rest
 	}
-	out := f.run(ctx)
+	out = f.run(ctx)
 	if f.diverted {
-		if relayed, ok := d.relay(ctx, in, r, table.Version, began); ok {
-			out = relayed
+		if other, ok := d.relay(ctx, in, r, version, began); ok {
+			out = other
 		}
 	}
-	if out.Release == nil {
-		out.Release = f.reservations.Release
-	}
-	f.log(&out)
-	return out
+	return out, false
 }
 
 func (d *Forwarder) quarantineRemaining(f tier.Fingerprint) time.Duration {
--- a/internal/reqst/reach.go
+++ b/internal/reqst/reach.go
@@ -32,6 +32,10 @@
 		d.reach.Suspended(now)
 	}
 	d.reachUpdated = now
+	if d.cut.Load() {
+		// Servers that are gone would prolong the cut.
+		d.reach.Forget(d.known)
+	}
 	cut, changed := d.reach.Update(now)
 	if changed {
 		d.setCut(cut)
--- a/internal/reqst/relay_test.go
+++ b/internal/reqst/relay_test.go
@@ -112,6 +112,47 @@
 	}
 }
 
+// TestFailedRelaysUseUpTheTimeOfARequest: hosts that can't be reached took most of the caller's time; what is left is the
+// time of the request, and without any it is refused.
+func TestFailedRelaysUseUpTheTimeOfARequest(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		left   time.Duration
+		status int
+	}{
+		{"some time is left", 2 * time.Second, http.StatusOK},
+		{"none is left", 10 * time.Millisecond, http.StatusServiceUnavailable},
+	} {
+		d := cutForwarder(t, 4)
+		for _, list := range d.Directory.(*staticDirectory).services {
+			d.ServerReached(list[0].Server)
+		}
+		d.RelayPeers = func() []tier.NodeID { return []tier.NodeID{"a"} }
+		d.RelayTo = func(context.Context, tier.NodeID, *Inbound) (Outbound, error) {
+			time.Sleep(20 * time.Millisecond)
+			return Outbound{}, conn.ErrNotSent
+		}
+		out := d.Forward(context.Background(), &Inbound{ID: "id", Method: http.MethodGet, Target: "/q", Path: "/q", Host: "search.example", Header: http.Header{}, TimeLeft: c.left})
+		require.Equal(t, c.status, out.Status, c.name)
+	}
+}
+
+// TestServersThatAreGoneDoNotProlongACut: most servers die, their leases end, and the rest answer.
+func TestServersThatAreGoneDoNotProlongACut(t *testing.T) {
+	d := cutForwarder(t, 4)
+	dir := d.Directory.(*staticDirectory)
+	for _, list := range dir.services {
+		d.ServerReached(list[0].Server)
+	}
+	require.True(t, d.UpdateReach())
+	for _, list := range dir.services {
+		for _, c := range list[1:] {
+			delete(dir.direct, c.Server)
+		}
+	}
+	require.False(t, d.UpdateReach())
+}
+
 // TestWaitingRequestIsDiverted: a host is cut off while a request waits for its servers. An idempotent one goes on through
 // another host, if the budget allows it; one that must not run twice waits for its servers.
 func TestWaitingRequestIsDiverted(t *testing.T) {
