--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -39,8 +39,8 @@
 	// cachedCounts is recomputed whenever hosts changes, as it is read for every choice of a
 	// server.
 	cachedCounts atomic.Pointer[hostCounts]
-	// rates computes cachedShares from the list of hosts; it is guarded by mu.
-	rates        rateSharers
+	// shareTracker computes cachedShares from the list of hosts; it is guarded by mu.
+	shareTracker shareTracker
 	cachedShares atomic.Pointer[rateShares]
 	// isCurrent is State.Current at lastApplied, a time of clock; currentChanged is signalled when it
 	// changes.
@@ -87,7 +87,7 @@
 		g.hosts.Store(&list)
 		c := g.countHosts(list)
 		g.cachedCounts.Store(&c)
-		shares := g.rates.update(now, g.settings.ID, list)
+		shares := g.shareTracker.update(now, g.settings.ID, list)
 		g.cachedShares.Store(&shares)
 	}
 	for i := range eff.Sends {
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -59,13 +59,13 @@
 	return part * own / max(own, group.weight(z))
 }
 
-// rateSharers keeps track of the hosts that share servers' limits. It does no I/O and is not safe for concurrent use.
-type rateSharers struct {
+// shareTracker keeps track of the hosts that share servers' limits. It does no I/O and is not safe for concurrent use.
+type shareTracker struct {
 	downSince map[tier.NodeID]time.Duration
 }
 
 // update returns the shares for a new list of hosts.
-func (r *rateSharers) update(now time.Duration, self tier.NodeID, hosts []spread.Host) rateShares {
+func (r *shareTracker) update(now time.Duration, self tier.NodeID, hosts []spread.Host) rateShares {
 	if r.downSince == nil {
 		r.downSince = map[tier.NodeID]time.Duration{}
 	}
@@ -87,7 +87,7 @@
 }
 
 // left reports whether a host has been down for so long that it has no share any more.
-func (r *rateSharers) left(now time.Duration, h *spread.Host) bool {
+func (r *shareTracker) left(now time.Duration, h *spread.Host) bool {
 	if h.State != spread.HostDown {
 		delete(r.downSince, h.ID)
 		return false
--- a/internal/edge/rates_test.go
+++ b/internal/edge/rates_test.go
@@ -33,7 +33,7 @@
 		for z := range c.zones {
 			sum := 0.0
 			for i := range list {
-				shares := (&rateSharers{}).update(0, list[i].ID, list)
+				shares := (&shareTracker{}).update(0, list[i].ID, list)
 				own := shares.share(tier.Zone(fmt.Sprint("z", z)))
 				require.GreaterOrEqual(t, own, c.minimum, "%s, host %d", c.name, i)
 				sum += own
@@ -46,7 +46,7 @@
 // TestHostThatIsCutOffKeepsItsShare: a host that counts the others as down may be the one that is cut off.
 func TestHostThatIsCutOffKeepsItsShare(t *testing.T) {
 	list := []spread.Host{{ID: "a", Active: true}, {ID: "b", Active: true}}
-	var r rateSharers
+	var r shareTracker
 	shares := r.update(0, "a", list)
 	require.InDelta(t, 0.5, shares.share(""), 1e-9)
 	list[1].State = spread.HostDown
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -130,12 +130,12 @@
 	// reachUpdated is when UpdateReach was last called.
 	reachUpdated time.Duration
 	relays       relayPeers
-	// cutOff is closed while this node is cut off from the servers.
-	cutOff chan struct{}
-	cut    atomic.Bool
-	base   context.Context
-	open   atomic.Int64
-	served atomic.Int64
+	// cutSignal is closed while this node is cut off from the servers (cut), to wake the requests that wait for them.
+	cutSignal chan struct{}
+	cut       atomic.Bool
+	base      context.Context
+	open      atomic.Int64
+	served    atomic.Int64
 }
 
 // Allowance is the fleet's budget of extra sub-requests for each service: in every Window,
@@ -155,7 +155,7 @@
 	d.Board.Start()
 	d.startTerms()
 	d.reach.Start()
-	d.cutOff = make(chan struct{})
+	d.cutSignal = make(chan struct{})
 }
 
 // ForgetGone drops the observations of servers that are in the directory no more.
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -262,7 +262,7 @@
 	wake := f.plan.Next()
 	timer := time.NewTimer(wake - clock.Now())
 	defer timer.Stop()
-	cutOff := f.cutOff()
+	cutOff := f.cutSignal()
 	for !f.plan.Finished() {
 		select {
 		case <-cutOff:
--- a/internal/reqst/reach.go
+++ b/internal/reqst/reach.go
@@ -49,22 +49,22 @@
 func (d *Forwarder) setCut(cut bool) {
 	d.cut.Store(cut)
 	if cut {
-		close(d.cutOff)
+		close(d.cutSignal)
 		return
 	}
-	d.cutOff = make(chan struct{})
+	d.cutSignal = make(chan struct{})
 }
 
-// cutOff returns a channel that is closed when this node turns out to be cut off, or nil if it is already, or if the request
+// cutSignal returns a channel that is closed when this node turns out to be cut off, or nil if it is already, or if the request
 // must not be sent through another node because it may have run, or came from one.
-func (f *forwarding) cutOff() <-chan struct{} {
+func (f *forwarding) cutSignal() <-chan struct{} {
 	d := f.forwarder
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !f.route.Idempotent || !d.relayable(f.in) || d.cut.Load() {
 		return nil
 	}
-	return d.cutOff
+	return d.cutSignal
 }
 
 // divert gives up the servers of an idempotent request that no longer reaches them, if the budget allows that other
