Relays: a refusal after an attempt that may have run is no longer called not run

Callers would have seen: 503, 'not run', for an idempotent request that a first host had received and not answered, or that own servers had got before it was diverted, when the second host refused it. Cause: the last host's answer was passed on as it was, whatever had become of the attempts before it. Change: after such an attempt a status that promises 'not run' becomes 502. Measured: the new row of TestRequestsOfACutHostGoThroughAnother got 503 before and passes; package reqst with the race detector. The diverted path has no test of its own.

--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -282,6 +282,9 @@
 	if f.diverted {
 		if other, ok := d.relay(ctx, in, r, version, began); ok {
 			out = other
+			if f.plan.Ran() {
+				out = other.afterRun()
+			}
 		}
 	}
 	return out, false
--- a/internal/reqst/relay.go
+++ b/internal/reqst/relay.go
@@ -68,6 +68,7 @@
 // received it; the request has then not run.
 func (d *Forwarder) relay(ctx context.Context, in *Inbound, r *vers.Route, version vers.RoutesVersion, began time.Duration) (out Outbound, ok bool) {
 	deadline := began + in.timeLeft(r)
+	mayHaveRun := false
 	for range maxRelays {
 		now := d.Clock.Now()
 		peer, found := d.pickRelay(now)
@@ -78,9 +79,12 @@
 		switch {
 		case errors.Is(err, conn.ErrNotSent):
 			continue
+		case err == nil && mayHaveRun:
+			out, ok = next.afterRun(), true
 		case err == nil:
 			out, ok = next, true
 		default:
+			mayHaveRun = true
 			out, ok = lostRelay(d.Clock.Now() >= deadline), true
 		}
 		if !d.relayAgain(ctx, r, &out, err) {
@@ -93,6 +97,16 @@
 	return out, ok
 }
 
+// afterRun returns the answer to a request of which an earlier attempt may have run: a refusal then no longer means that it
+// has not run.
+func (o Outbound) afterRun() Outbound {
+	switch o.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		o.Status = http.StatusBadGateway
+	}
+	return o
+}
+
 // lostRelay is the answer to a request that another node received and did not answer.
 func lostRelay(late bool) Outbound {
 	if late {
--- a/internal/reqst/relay_test.go
+++ b/internal/reqst/relay_test.go
@@ -42,6 +42,7 @@
 		{"all are cut off", true, []reply{{out: isolated}, {out: isolated}}, true, 503, 2},
 		{"no answer, may run again", true, []reply{{err: errNoAnswer}, {out: served}}, true, 200, 2},
 		{"no answer, must not run again", false, []reply{{err: errNoAnswer}, {out: served}}, true, 502, 1},
+		{"no answer, then refused: the first may have run", true, []reply{{err: errNoAnswer}, {out: refused}}, true, 502, 2},
 		{"no answer twice", true, []reply{{err: errNoAnswer}, {err: errNoAnswer}}, true, 502, 2},
 	} {
 		d := benchForwarder(t, 1)
