--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts in this folder, without a network.
+set -e
+cd "$(dirname "$0")/standin"
+GOWORK=off GOFLAGS= go build -o ../bin/standin .
