review: a server's 404 counts as a part of a gathered answer

Shows that a success of a gathering route names the MAC of an answer with status 404 and merges its body.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 
 var scripts = map[string]script{
 	"snapshot": {options{machines: 3, disks: 3, memoryMB: 284}, runSnapshot},
+	"failure":  {options{machines: 3, disks: 3, memoryMB: 284}, runFailure},
 }
 
 func main() {
