review: restarted machines forget a request that crashes servers

Shows that a request which has crashed three servers and is refused by all machines reaches servers again, three times at each machine that is stopped and started.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 
 var scripts = map[string]script{
 	"snapshot": {options{machines: 3, disks: 3, memoryMB: 284}, runSnapshot},
+	"poison":   {options{machines: 3, disks: 3, memoryMB: 284}, runPoison},
 	"failure":  {options{machines: 3, disks: 3, memoryMB: 284}, runFailure},
 }
 
