--- a/review/standin/failure.go
+++ b/review/standin/failure.go
@@ -63,7 +63,7 @@
 	f.waitReady(f.machines, 20*time.Second)
 	time.Sleep(3 * time.Second)
 	failing.Store(trouble)
-	q := newRequester(f)
+	q := newRequester()
 	var mu sync.Mutex
 	broken, wrong, served := "", 0, 0
 	var open sync.WaitGroup
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -81,8 +81,6 @@
 	machines int
 	disks    int
 	memoryMB int
-	// tolerance is the number of machines with a disk that may be lost at once.
-	tolerance int
 }
 
 // unusable is the panic of a case that cannot run.
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -50,7 +50,7 @@
 	}
 	f.waitReady(f.machines, 20*time.Second)
 	time.Sleep(3 * time.Second)
-	q := newRequester(f)
+	q := newRequester()
 	sent, late := 0, 0
 	// send sends the request to a machine and reports whether it reached a server.
 	send := func(m *machine) bool {
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -233,26 +233,13 @@
 	body   []byte
 }
 
-// requester sends requests on kept connections to the addresses that the directory names.
+// requester sends requests on kept connections.
 type requester struct {
-	fleet  *fleet
 	client *http.Client
 }
 
-func newRequester(f *fleet) *requester {
-	return &requester{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
-}
-
-// resolve returns the addresses that the directory of a machine names.
-func (f *fleet) resolve(m *machine, host string) []string {
-	status, b := f.call(http.MethodGet, "http://"+m.addr(portDirectory)+"/resolution?name="+host+"&region=hr-kontinent&zone="+m.zone, nil, time.Second)
-	var r struct {
-		Addrs []string `json:"addrs"`
-	}
-	if status != http.StatusOK || json.Unmarshal(b, &r) != nil {
-		return nil
-	}
-	return r.Addrs
+func newRequester() *requester {
+	return &requester{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 }
 
 // do sends one attempt with a time budget; status 0 means that no complete answer came.
