conn: count the connections of a test atomically

A fault of the test, not of the product.

The server's handler now adds to an atomic counter, so the test still fails for any second connection.

--- a/internal/conn/direct_test.go
+++ b/internal/conn/direct_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,9 +81,9 @@
 }
 
 func TestDirectReusesAConnection(t *testing.T) {
-	conns := 0
-	d := scriptedServer(t, func(n int, c net.Conn, r *bufio.Reader) {
-		conns = n + 1
+	var conns atomic.Int64
+	d := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
 		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
 			_, _ = io.WriteString(c, answerTo(req, "body of "+req.RequestURI))
 		}
@@ -92,7 +93,7 @@
 		require.NoError(t, err)
 		require.Equal(t, "body of /p?q=1", string(a.Body))
 	}
-	require.Equal(t, 1, conns)
+	require.EqualValues(t, 1, conns.Load())
 	require.Equal(t, 1, d.Idle())
 }
 
