--- a/internal/proc/ctrl/apply.go
+++ b/internal/proc/ctrl/apply.go
@@ -58,7 +58,7 @@
 	}
 	r.store = st
 	r.notifyRoutes()
-	event.SnapshotInstalled.Log(r.Log, nil, logrus.Fields{"index": s.Index})
+	event.SnapshotInstalled.Log(r.Log, nil, r.snapshotFields(s))
 	return nil
 }
 
@@ -133,9 +133,17 @@
 	r.snapshotSentAt[m.To] = now
 	if s, err := r.snapshot(); err == nil {
 		m.Snap = &s
+		fields := r.snapshotFields(s)
+		fields["peer"] = m.To
+		event.SnapshotSent.Log(r.Log, nil, fields)
 	}
 }
 
+// snapshotFields returns the log fields of a snapshot whose data is the current state.
+func (r *Replica) snapshotFields(s quorum.Snap) logrus.Fields {
+	return logrus.Fields{"index": s.Index, "config": r.store.Config().Version, "routes": r.store.Routes().Version}
+}
+
 func (r *Replica) snapshot() (quorum.Snap, error) {
 	b, err := r.store.Save()
 	if err != nil {
@@ -158,6 +166,8 @@
 		return err
 	}
 	r.core.Compact(s.Index)
-	event.SnapshotCreated.Log(r.Log, nil, logrus.Fields{"index": s.Index, "bytes": len(s.Data)})
+	fields := r.snapshotFields(s)
+	fields["bytes"] = len(s.Data)
+	event.SnapshotCreated.Log(r.Log, nil, fields)
 	return nil
 }
