--- a/internal/proc/ctrl/apply.go
+++ b/internal/proc/ctrl/apply.go
@@ -56,7 +56,7 @@
 	if err := r.Folder.SaveSnapshot(s, r.hard, rest); err != nil {
 		return err
 	}
-	r.store = st
+	r.store, r.applied = st, s.Index
 	r.notifyRoutes()
 	event.SnapshotInstalled.Log(r.Log, nil, r.snapshotFields(s))
 	return nil
@@ -71,6 +71,7 @@
 	}()
 	for _, e := range entries {
 		res := r.applyOne(e)
+		r.applied = e.Index
 		w, ok := r.pending[e.Index]
 		if !ok {
 			continue
@@ -144,17 +145,19 @@
 	return logrus.Fields{"index": s.Index, "config": r.store.Config().Version, "routes": r.store.Routes().Version}
 }
 
+// snapshot returns the state of the store with the index of the last entry applied to it. The core may have committed
+// further entries that are yet to be applied.
 func (r *Replica) snapshot() (quorum.Snap, error) {
 	b, err := r.store.Save()
 	if err != nil {
 		return quorum.Snap{}, err
 	}
-	i := r.core.Applied()
+	i := r.applied
 	return quorum.Snap{Index: i, Term: r.core.TermAt(i), Members: r.core.MembersAt(i), Data: b}, nil
 }
 
 func (r *Replica) compact() error {
-	if r.core.LogLen() < r.CompactAfter || r.core.Applied() == 0 {
+	if r.core.LogLen() < r.CompactAfter || r.applied == 0 {
 		return nil
 	}
 	s, err := r.snapshot()
--- a/internal/proc/ctrl/ask.go
+++ b/internal/proc/ctrl/ask.go
@@ -128,7 +128,7 @@
 		c := &r.core
 		s = Status{
 			Replica: c.ID, Role: c.Role().String(), Term: c.Term(), Leader: c.LeaderID(),
-			Members: c.Membership(), Last: c.LastIndex(), Applied: c.Applied(), Versions: len(r.store.History()),
+			Members: c.Membership(), Last: c.LastIndex(), Applied: r.applied, Versions: len(r.store.History()),
 		}
 		if c.Role() != quorum.Leader {
 			return
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -75,7 +75,9 @@
 
 	core  quorum.Core
 	store *store.Store
-	hard  quorum.HardState
+	// applied is the index of the last entry whose effect store holds.
+	applied tier.Index
+	hard    quorum.HardState
 
 	messages  chan quorum.Msg
 	proposals chan proposal
