--- a/internal/proc/ctrl/apply.go
+++ b/internal/proc/ctrl/apply.go
@@ -153,7 +153,7 @@
 		return quorum.Snap{}, err
 	}
 	i := r.applied
-	return quorum.Snap{Index: i, Term: r.core.TermAt(i), Members: r.core.MembersAt(i), Data: b}, nil
+	return quorum.Snap{Index: i, Term: r.core.TermAt(i), Members: r.core.MembersAt(i), Data: b, Exact: true}, nil
 }
 
 func (r *Replica) compact() error {
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -142,7 +142,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-r.messages:
-			next = func() { r.core.Step(r.Clock.Now(), m) }
+			next = func() { r.step(m) }
 		case p := <-r.proposals:
 			next = func() { r.propose(p) }
 		case f := <-r.loopCalls:
@@ -212,7 +212,7 @@
 	for range maxBatch {
 		select {
 		case m := <-r.messages:
-			r.core.Step(r.Clock.Now(), m)
+			r.step(m)
 		case p := <-r.proposals:
 			r.propose(p)
 		case f := <-r.loopCalls:
@@ -225,6 +225,13 @@
 	r.core.Flush()
 }
 
+func (r *Replica) step(m quorum.Msg) {
+	r.core.Step(r.Clock.Now(), m)
+	if s := m.Snap; s != nil && !s.Exact && m.To == r.core.ID && r.core.Applied() < s.Index {
+		event.SnapshotUnverified.Log(r.Log, nil, logrus.Fields{"peer": m.From, "index": s.Index})
+	}
+}
+
 func (r *Replica) tick() {
 	now := r.Clock.Now()
 	if now-r.lastGreeting >= greetInterval {
--- a/internal/proc/ctrl/restore.go
+++ b/internal/proc/ctrl/restore.go
@@ -34,6 +34,6 @@
 		return "", 0, tier.At("restore", f.Path, errors.New("the data folder holds the state of a cluster; it must be empty"))
 	}
 	term := tier.Term(now.Unix())
-	snap := quorum.Snap{Index: 1, Term: term, Members: quorum.Members{Voters: []tier.ReplicaID{f.ID()}}, Data: data}
+	snap := quorum.Snap{Index: 1, Term: term, Members: quorum.Members{Voters: []tier.ReplicaID{f.ID()}}, Data: data, Exact: true}
 	return f.ID(), st.Config().Version, f.SaveSnapshot(snap, quorum.HardState{Term: term}, nil)
 }
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -30,18 +30,19 @@
 
 // Events of the control replicas: 100 to 199.
 var (
-	ReplicaStarted    = Event{100, logrus.InfoLevel, "control replica started", "The replica has read its state from disk. Fields: replica, last (index of the last log entry), term."}
-	RoleChanged       = Event{101, logrus.InfoLevel, "control role changed", "Fields: role (the new one), term, leader."}
-	ClusterFounded    = Event{102, logrus.InfoLevel, "control cluster created", "This control host had no state, and wrote the initial membership of a new cluster to its disk. Fields: voters."}
-	MembersChanged    = Event{103, logrus.InfoLevel, "control membership change proposed", "The leader proposed one step of a membership change, such as replace or promote during a repair. Fields: step, replica, and on edge and platform nodes voters (the voters after the step)."}
-	SnapshotCreated   = Event{104, logrus.InfoLevel, "snapshot created", "Fields: index (of the last log entry in the snapshot), bytes, config and routes (versions that the snapshot holds)."}
-	SnapshotInstalled = Event{105, logrus.InfoLevel, "snapshot installed", "The replica lagged behind and installed the leader's snapshot. Fields: index (of the last log entry in the snapshot), config and routes (versions that the snapshot holds)."}
-	DiskFailed        = Event{106, logrus.ErrorLevel, "control replica stopped: disk failure", "A read, write or sync failed, or the state is corrupt. The replica stops; the rest of the node continues to run, and edge and platform nodes reopen the replica (event 215). Repair: OPERATIONS.md, replacing a disk."}
-	CommandUnreadable = Event{107, logrus.ErrorLevel, "unreadable command skipped", "A committed log entry cannot be decoded. Fields: index."}
-	ConfigAccepted    = Event{108, logrus.InfoLevel, "configuration accepted", "The configuration version is committed. Fields: version, index."}
-	RoutesAccepted    = Event{110, logrus.InfoLevel, "routing table accepted", "The table is committed. Fields: version, index."}
-	SnapshotSent      = Event{111, logrus.InfoLevel, "snapshot sent", "The leader sent its state to a replica that lags behind the log. Fields: peer, index (of the last log entry in the snapshot), config and routes (versions that the snapshot holds)."}
-	HubOpened         = Event{109, logrus.InfoLevel, "membership hub opened", "This replica is the leader and collects the membership. Fields: epoch."}
+	ReplicaStarted     = Event{100, logrus.InfoLevel, "control replica started", "The replica has read its state from disk. Fields: replica, last (index of the last log entry), term."}
+	RoleChanged        = Event{101, logrus.InfoLevel, "control role changed", "Fields: role (the new one), term, leader."}
+	ClusterFounded     = Event{102, logrus.InfoLevel, "control cluster created", "This control host had no state, and wrote the initial membership of a new cluster to its disk. Fields: voters."}
+	MembersChanged     = Event{103, logrus.InfoLevel, "control membership change proposed", "The leader proposed one step of a membership change, such as replace or promote during a repair. Fields: step, replica, and on edge and platform nodes voters (the voters after the step)."}
+	SnapshotCreated    = Event{104, logrus.InfoLevel, "snapshot created", "Fields: index (of the last log entry in the snapshot), bytes, config and routes (versions that the snapshot holds)."}
+	SnapshotInstalled  = Event{105, logrus.InfoLevel, "snapshot installed", "The replica lagged behind and installed the leader's snapshot. Fields: index (of the last log entry in the snapshot), config and routes (versions that the snapshot holds)."}
+	DiskFailed         = Event{106, logrus.ErrorLevel, "control replica stopped: disk failure", "A read, write or sync failed, or the state is corrupt. The replica stops; the rest of the node continues to run, and edge and platform nodes reopen the replica (event 215). Repair: OPERATIONS.md, replacing a disk."}
+	CommandUnreadable  = Event{107, logrus.ErrorLevel, "unreadable command skipped", "A committed log entry cannot be decoded. Fields: index."}
+	ConfigAccepted     = Event{108, logrus.InfoLevel, "configuration accepted", "The configuration version is committed. Fields: version, index."}
+	RoutesAccepted     = Event{110, logrus.InfoLevel, "routing table accepted", "The table is committed. Fields: version, index."}
+	SnapshotSent       = Event{111, logrus.InfoLevel, "snapshot sent", "The leader sent its state to a replica that lags behind the log. Fields: peer, index (of the last log entry in the snapshot), config and routes (versions that the snapshot holds)."}
+	SnapshotUnverified = Event{112, logrus.InfoLevel, "snapshot not yet installed", "The leader runs an earlier build, whose snapshot may lack entries that its index covers. The replica installs the leader's next snapshot if that has the same index: about a second later, once no change is under way. Fields: peer, index."}
+	HubOpened          = Event{109, logrus.InfoLevel, "membership hub opened", "This replica is the leader and collects the membership. Fields: epoch."}
 )
 
 // Events of nodes: 200 to 299.
@@ -97,7 +98,7 @@
 
 // Catalogue lists every event by number.
 var Catalogue = []Event{
-	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotCreated, SnapshotInstalled, DiskFailed, CommandUnreadable, ConfigAccepted, HubOpened, RoutesAccepted, SnapshotSent,
+	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotCreated, SnapshotInstalled, DiskFailed, CommandUnreadable, ConfigAccepted, HubOpened, RoutesAccepted, SnapshotSent, SnapshotUnverified,
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
 	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
--- a/internal/proc/quorum/core.go
+++ b/internal/proc/quorum/core.go
@@ -69,6 +69,7 @@
 	round           uint64
 	reads           []pendingRead
 	transfer        tier.ReplicaID
+	unverified      unverifiedSnap
 
 	effects Effects
 }
--- a/internal/proc/quorum/core_test.go
+++ b/internal/proc/quorum/core_test.go
@@ -32,11 +32,12 @@
 	return g
 }
 
-// run advances the time by d and checks that no two replicas applied different entries at one index and that no
-// term had two leaders.
+// run advances the time by d and checks that no two replicas applied different entries at one index, that none left out
+// an entry, and that no term had two leaders.
 func (g *testGroup) run(d time.Duration) {
 	g.Run(d)
 	require.Empty(g.t, g.Conflicts, "different entries were applied at one index")
+	require.Empty(g.t, g.Gaps, "an entry was left out")
 	require.Empty(g.t, g.DualLeaderTerms, "a term had two leaders")
 }
 
--- a/internal/proc/quorum/group/driver.go
+++ b/internal/proc/quorum/group/driver.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
@@ -32,6 +33,8 @@
 
 	hard    quorum.HardState
 	entries []quorum.Entry
+	// state is the index of the last entry whose effect the replica's state holds.
+	state tier.Index
 }
 
 // Conflict is a violation of log safety: two different entries applied at the same index. Replica applied New.
@@ -40,6 +43,12 @@
 	Old, New quorum.Entry
 }
 
+// Gap is a violation of log safety: Replica applied the entry at Index to a state that ends at State.
+type Gap struct {
+	Replica      tier.ReplicaID
+	State, Index tier.Index
+}
+
 // Driver runs a simulated group. The exported fields may be set before Start or between calls of Run.
 type Driver struct {
 	// Rand decides which messages are lost and seeds the replicas' election timeouts.
@@ -54,6 +63,11 @@
 	LossRate float64
 	// Isolated is the set of isolated nodes, which neither send nor receive messages.
 	Isolated map[tier.NodeID]bool
+	// Batch carries out a replica's effects once for all messages that it gets in a step, as a busy replica does.
+	Batch bool
+	// EarlyIndex is the set of nodes that label a snapshot like an earlier build: its index covers entries that the same
+	// effects commit, its data does not.
+	EarlyIndex map[tier.NodeID]bool
 
 	// Now is the virtual time.
 	Now time.Duration
@@ -65,6 +79,8 @@
 	// two leaders.
 	Conflicts       []Conflict
 	DualLeaderTerms []tier.Term
+	// Gaps are entries that were applied to a state without the entries before them.
+	Gaps []Gap
 
 	leaders map[tier.Term]tier.ReplicaID
 	queue   []quorum.Msg
@@ -95,7 +111,7 @@
 	r := d.Replicas[id]
 	r.Core = quorum.Core{ID: id, Heartbeat: Heartbeat, Election: ElectionTimeout, Rand: rand.New(rand.NewPCG(d.Rand.Uint64(), 2)), Unsafe: d.Unsafe}
 	r.Core.Start(d.Now, r.hard, r.Snap, append([]quorum.Entry(nil), r.entries...))
-	r.Applied, r.Up = nil, true
+	r.Applied, r.state, r.Up = nil, stateOf(&r.Snap), true
 }
 
 // Crash stops a replica. Its disk is kept, except for what NoSync makes it lose.
@@ -125,7 +141,7 @@
 func (d *Driver) Compact(id tier.ReplicaID) tier.Index {
 	r := d.Replicas[id]
 	i := r.Core.Applied()
-	r.Snap = quorum.Snap{Index: i, Term: r.Core.TermAt(i), Members: r.Core.MembersAt(i)}
+	r.Snap = r.snapshot(i)
 	r.entries = r.Core.EntriesAfter(i)
 	r.Core.Compact(i)
 	return i
@@ -169,8 +185,11 @@
 		msgs := d.queue
 		d.queue = nil
 		for _, m := range msgs {
-			if d.isDelivered(&m) {
-				d.Replicas[m.To].Core.Step(d.Now, m)
+			if !d.isDelivered(&m) {
+				continue
+			}
+			d.Replicas[m.To].Core.Step(d.Now, m)
+			if !d.Batch {
 				d.HandleEffects(m.To)
 			}
 		}
@@ -203,18 +222,52 @@
 		r.persist(&e)
 		for _, m := range e.Messages {
 			if m.Kind == quorum.MsgSnap {
-				i := r.Core.Applied()
-				m.Snap = &quorum.Snap{Index: i, Term: r.Core.TermAt(i), Members: r.Core.MembersAt(i)}
+				m.Snap = d.snapshotToSend(id)
 			}
 			d.queue = append(d.queue, m)
 		}
 		for _, n := range e.Committed {
 			d.recordApplied(id, n)
+			if n.Index != r.state+1 {
+				d.Gaps = append(d.Gaps, Gap{id, r.state, n.Index})
+			}
+			r.state = n.Index
 		}
 		r.Applied = append(r.Applied, e.Committed...)
 	}
 }
 
+// snapshot returns a snapshot with the given index. Its data names the end of the state.
+func (r *Replica) snapshot(i tier.Index) quorum.Snap {
+	return quorum.Snap{
+		Index: i, Term: r.Core.TermAt(i), Members: r.Core.MembersAt(i), Exact: true,
+		Data: strconv.AppendUint(nil, uint64(r.state), 10),
+	}
+}
+
+// stateOf returns the index at which the state in a snapshot ends.
+func stateOf(s *quorum.Snap) tier.Index {
+	if len(s.Data) == 0 {
+		return 0
+	}
+	i, err := strconv.ParseUint(string(s.Data), 10, 64)
+	if err != nil {
+		// Unreachable: snapshot wrote the data.
+		panic(err)
+	}
+	return tier.Index(i)
+}
+
+func (d *Driver) snapshotToSend(id tier.ReplicaID) *quorum.Snap {
+	r := d.Replicas[id]
+	s := r.snapshot(r.state)
+	if d.EarlyIndex[id.Node()] {
+		s = r.snapshot(r.Core.Applied())
+		s.Exact = false
+	}
+	return &s
+}
+
 // persist writes the durable effects to the simulated disk.
 func (r *Replica) persist(e *quorum.Effects) {
 	if e.Hard != nil {
@@ -222,6 +275,7 @@
 	}
 	if e.Install != nil {
 		r.Snap, r.entries, r.Applied = *e.Install, nil, nil
+		r.state = stateOf(e.Install)
 	}
 	for _, n := range e.Entries {
 		r.entries = append(r.entries[:n.Index-r.Snap.Index-1], n)
--- a/internal/proc/quorum/msg.go
+++ b/internal/proc/quorum/msg.go
@@ -45,6 +45,8 @@
 	Term    tier.Term  `cbor:"2,keyasint"`
 	Members Members    `cbor:"3,keyasint"`
 	Data    []byte     `cbor:"4,keyasint"`
+	// Exact is set if Data holds every entry up to Index. In a snapshot of an earlier build Index may be ahead of Data.
+	Exact bool `cbor:"5,keyasint,omitempty"`
 }
 
 // MsgKind is the kind of a message between replicas.
--- a/internal/proc/quorum/step.go
+++ b/internal/proc/quorum/step.go
@@ -100,7 +100,7 @@
 	}
 	c.resetTimer(now)
 	if m.Kind == MsgSnap {
-		c.stepSnap(m)
+		c.stepSnap(now, m)
 		return
 	}
 	c.stepAppend(m)
@@ -142,12 +142,13 @@
 	}
 }
 
-func (c *Core) stepSnap(m Msg) {
-	if m.Snap == nil || m.Snap.Index <= c.commit {
+func (c *Core) stepSnap(now time.Duration, m Msg) {
+	if m.Snap == nil || m.Snap.Index <= c.commit || !c.isExact(now, &m) {
 		c.send(Msg{Kind: MsgAppendResp, To: m.From, Round: m.Round, Match: c.commit})
 		return
 	}
 	s := *m.Snap
+	s.Exact = true
 	c.log.reset(s.Index, s.Term)
 	c.snapMembers = s.Members
 	c.reloadMembers()
