edge: repair a control state that lacks the routing table in force

A table that is in force anywhere was committed. A leader whose confirmed state is older than the table that its own host has in force (from its disk, another replica or a peer) now commits that table once more before it answers the read. Replicas that have it ignore the entry, the others are repaired. A leader's host that has just started or was suspended doesn't answer reads before it has compared its records with another one, one second at most, as it already does for callers. Event 225 and the counter routes_restored name each repair.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
@@ -38,6 +39,10 @@
 	compactAfter = 256
 )
 
+// errNotCurrent means that the leader's host has just started or was suspended, and does not know yet which routing table is
+// in force.
+var errNotCurrent = errors.New("the leader does not know yet which routing table is in force")
+
 // controlRequest is a node's request to a control replica. Without any field set it reads the
 // current routing table.
 type controlRequest struct {
@@ -260,7 +265,7 @@
 	if r == nil {
 		return controlReply{Error: tier.ErrNotLeader.Error()}
 	}
-	rep, err := executeControl(ctx, r, q)
+	rep, err := n.executeControl(ctx, r, q)
 	if err != nil {
 		rep.Error = err.Error()
 		rep.Leader = r.Leader(ctx)
@@ -268,32 +273,62 @@
 	return rep
 }
 
-func executeControl(ctx context.Context, r *ctrl.Replica, q controlRequest) (rep controlReply, err error) {
+func (n *Node) executeControl(ctx context.Context, r *ctrl.Replica, q controlRequest) (rep controlReply, err error) {
 	if q.Apply != nil {
-		res, err := r.Propose(ctx, store.Command{Routes: q.Apply})
-		if err == nil && res.Routes == nil {
-			err = tier.ErrNotLeader
-		}
-		if err == nil {
-			rep.Version = res.Routes.Version
-		}
+		rep.Version, err = proposeRoutes(ctx, r, q.Apply)
 		return rep, err
 	}
-	err = r.Read(ctx, func(s *store.Store) {
-		rep.Doc = s.Routes()
-		rep.Version = rep.Doc.Version
-		if q.History {
-			rep.History = append(rep.History, s.RoutesHistory()...)
-		}
-	})
-	if err == nil && q.Status {
-		var st ctrl.Status
-		st, err = r.Status(ctx)
-		rep.Status = &st
+	if !q.Status {
+		return n.readControl(ctx, r, q.History)
+	}
+	if err := r.Read(ctx, func(*store.Store) {}); err != nil {
+		return rep, err
 	}
+	st, err := r.Status(ctx)
+	rep.Status = &st
 	return rep, err
 }
 
+// proposeRoutes commits a routing table and returns the version in use afterwards.
+func proposeRoutes(ctx context.Context, r *ctrl.Replica, d *store.RoutesDoc) (vers.RoutesVersion, error) {
+	res, err := r.Propose(ctx, store.Command{Routes: d})
+	if err != nil {
+		return 0, err
+	}
+	if res.Routes == nil {
+		return 0, tier.ErrNotLeader
+	}
+	return res.Routes.Version, nil
+}
+
+// readControl reads the routing table from the leader's state. A table that is in force was committed, so a state that
+// lacks the one in force here is damaged: it came from a snapshot of an earlier build that did not hold all that its index
+// covered. The table is then committed once more.
+func (n *Node) readControl(ctx context.Context, r *ctrl.Replica, history bool) (controlReply, error) {
+	if !n.gossip.current() {
+		return controlReply{}, errNotCurrent
+	}
+	for {
+		known := n.table.Load()
+		var rep controlReply
+		err := r.Read(ctx, func(s *store.Store) {
+			rep.Doc = s.Routes()
+			rep.Version = rep.Doc.Version
+			if history {
+				rep.History = append(rep.History, s.RoutesHistory()...)
+			}
+		})
+		if err != nil || known == nil || known.doc.Version <= rep.Version {
+			return rep, err
+		}
+		event.RoutesRestored.Log(n.Log, nil, logrus.Fields{"version": known.doc.Version, "held": rep.Version})
+		n.Stats.Count("routes_restored", "")
+		if _, err := proposeRoutes(ctx, r, &known.doc); err != nil {
+			return controlReply{}, err
+		}
+	}
+}
+
 // fetchRoutes fetches a peer's routing table and installs it if it is newer. Only one fetch runs at
 // a time.
 func (n *Node) fetchRoutes(ctx context.Context, from tier.NodeID) {
--- a/internal/edge/full_test.go
+++ b/internal/edge/full_test.go
@@ -55,40 +55,43 @@
 	}
 	port := freeUDPPorts(t, string(seeds[0]))
 	dir := t.TempDir()
-	ctx, cancel := context.WithCancel(context.Background())
-	var ended []chan error
-	t.Cleanup(func() {
-		cancel()
-		for _, e := range ended {
-			require.ErrorIs(t, <-e, context.Canceled)
-		}
-	})
 	var hosts []*controlHost
 	for i, id := range seeds {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
 		h := &controlHost{}
-		h.node = &Node{
-			Settings: Settings{
-				ID: id, Name: fmt.Sprint("h", i), Zone: "z", Region: "r", LinkPort: port, GossipPort: port + 1, Seeds: seeds, Bootstrap: true,
-				Data: filepath.Join(dir, fmt.Sprint(i)), Tolerance: 1, AnnounceInterval: time.Second, GracePeriod: 6 * time.Second,
-			},
-			Log: log, Clock: tier.NewClock(), LeaseClock: BootClock{}, Stats: stats.NewRegistry(), Names: tier.DefaultHeaders(), Decode: vers.DecodeRoutes,
-			openLog: func(path string) (tier.File, error) {
-				f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
-				return &fullDisk{f, &h.full, &h.refused}, err
-			},
+		h.node = newControlNode(Settings{
+			ID: id, Name: fmt.Sprint("h", i), LinkPort: port, GossipPort: port + 1, Seeds: seeds, Bootstrap: true, Data: filepath.Join(dir, fmt.Sprint(i)),
+		})
+		h.node.openLog = func(path string) (tier.File, error) {
+			f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+			return &fullDisk{f, &h.full, &h.refused}, err
 		}
-		h.node.Build()
-		end := make(chan error, 1)
-		ended = append(ended, end)
-		go func() { end <- h.node.Run(ctx) }()
-		require.Eventually(t, func() bool { return h.node.replica.Load() != nil }, 30*time.Second, 10*time.Millisecond, "the replica of %s runs", id)
+		runControlNode(t, h.node)
 		hosts = append(hosts, h)
 	}
 	return hosts
 }
 
+// newControlNode returns a node with a replica; s names its id, ports, seeds and data folder.
+func newControlNode(s Settings) *Node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s.Zone, s.Region, s.Tolerance, s.AnnounceInterval, s.GracePeriod = "z", "r", 1, time.Second, 6*time.Second
+	return &Node{Settings: s, Log: log, Clock: tier.NewClock(), LeaseClock: BootClock{}, Stats: stats.NewRegistry(), Names: tier.DefaultHeaders(), Decode: vers.DecodeRoutes}
+}
+
+// runControlNode runs a node until the end of the test, and waits until its replica runs.
+func runControlNode(t *testing.T, n *Node) {
+	n.Build()
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.ErrorIs(t, <-end, context.Canceled)
+	})
+	require.Eventually(t, func() bool { return n.replica.Load() != nil }, 30*time.Second, 10*time.Millisecond, "the replica of %s runs", n.Settings.ID)
+}
+
 // freeUDPPorts returns the first of two ports that are free at an address.
 func freeUDPPorts(t *testing.T, address string) int {
 	c, err := net.ListenPacket("udp", address+":0")
