reqst: only a signed success is a part of a gathered answer

Callers saw 200 with Part-Signatures that named the MAC of a server's 404, and the records of its body among the results; Missing-Parts did not count the shard.

Cause: one function classifies answers for all routes. Redirects and statuses from 400 on other than 421 count as an answer, which is right for a route with one service, whose server's answer is passed on whatever it is, and wrong for a route that gathers.

A sub-request now knows whether its answer becomes a part. If so, any status from 300 on is a failure of that server: the shard is asked of another one, within max_attempts and the budget, or is missing. So is a success without exactly one signature, or with one that would read as two in the list. Hedges and relayed requests go through the same function. The log names the status of a failed sub-request, and server_failures_total counts them.

--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -23,8 +23,10 @@
 	fingerprint tier.Fingerprint
 	action      Action
 	careful     bool
-	sent        time.Duration
-	deadline    time.Duration
+	// gathers is set if the answer is to be a part of a gathered one.
+	gathers  bool
+	sent     time.Duration
+	deadline time.Duration
 	// born is the start of the server to which the sub-request was sent.
 	born int64
 }
@@ -37,7 +39,7 @@
 		var err error
 		a.born = direct.Born
 		rep.answer, err = direct.Do(ctx, a.out, a.deadline-a.sent, a.careful)
-		d.classify(rep, err)
+		d.classify(rep, err, a.gathers)
 		if rep.Reason == tier.ReasonLost && rep.Result == conn.ResultFailed {
 			d.Workers.Go(func() { d.blameIfGone(direct, a.fingerprint, a.action.Server) })
 		}
@@ -62,6 +64,9 @@
 	now := d.Clock.Now()
 	took := now - a.sent
 	ratio := float64(took) / float64(a.kind.Base)
+	if s := rep.answer.Status; s >= http.StatusMultipleChoices {
+		d.Stats.Count("server_failures", a.route+"/"+strconv.Itoa(s))
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordStatement(now, id, a.born, rep.answer.Status, rep.answer.Header)
@@ -115,8 +120,18 @@
 // requires.
 func unsigned(h http.Header, name string) bool { return name != "" && h.Get(name) == "" }
 
-// classify sets the result and reason of a reply from the server's answer or the error.
-func (d *Forwarder) classify(rep *directReply, err error) {
+// signs reports whether an answer has one signature that can be named in a list of them.
+func signs(h http.Header, name string) bool {
+	if name == "" {
+		return true
+	}
+	v := h.Values(name)
+	return len(v) == 1 && !strings.Contains(v[0], ",")
+}
+
+// classify sets the result and reason of a reply from the server's answer or the error. A route with one service passes
+// on whatever its server answers; a route that gathers needs successes, as a failure has no records.
+func (d *Forwarder) classify(rep *directReply, err error, gathers bool) {
 	h := rep.answer.Header
 	switch s := rep.answer.Status; {
 	case errors.Is(err, conn.ErrNotSent):
@@ -135,8 +150,10 @@
 		rep.Result, rep.Reason = conn.ResultNotRun, tier.ReasonNoOwner
 	case h.Get(d.Names.NotRun) != "":
 		rep.Result, rep.Reason = conn.ResultNotRun, tier.ReasonShed
-	case s >= http.StatusInternalServerError:
+	case s >= http.StatusInternalServerError || (gathers && s >= http.StatusMultipleChoices):
 		rep.Reason = tier.ReasonServerError
+	case gathers && !signs(h, d.Names.Signature):
+		rep.Reason = tier.ReasonTruncated
 	case s < http.StatusMultipleChoices && (unsigned(h, d.Names.Signature) || h.Get("Content-Encoding") != ""):
 		rep.Reason = tier.ReasonTruncated
 	default:
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -292,7 +292,7 @@
 // recordReply logs the end of an attempt and keeps the answer if it may be returned to the
 // caller unchanged.
 func (f *forwarding) recordReply(now time.Duration, r *directReply) {
-	f.attempts.ended(now, r.Attempt, r.Reason)
+	f.attempts.ended(now, r.Attempt, r.Reason, r.answer.Status)
 	delete(f.cancels, r.Attempt)
 	if len(f.route.Gather) == 0 && (r.Result == conn.ResultDone || r.Reason == tier.ReasonServerError) {
 		f.lastAnswer = &r.answer
@@ -321,7 +321,7 @@
 	f.attempts.sent(now, a)
 	ctx, cancel := context.WithCancel(d.base)
 	f.cancels[a.Attempt] = cancel
-	sub := subRequest{forwarder: d, out: f.out, kind: f.kind, route: f.route.Name, fingerprint: f.fingerprint, action: a, careful: a.Careful || !f.route.Idempotent, sent: now, deadline: f.deadline}
+	sub := subRequest{forwarder: d, out: f.out, kind: f.kind, route: f.route.Name, fingerprint: f.fingerprint, action: a, careful: a.Careful || !f.route.Idempotent, gathers: len(f.route.Gather) > 0, sent: now, deadline: f.deadline}
 	replies := f.replies
 	d.Workers.Go(func() {
 		defer cancel()
--- a/internal/reqst/trail.go
+++ b/internal/reqst/trail.go
@@ -32,6 +32,7 @@
 	sent   time.Duration
 	ended  time.Duration
 	reason tier.Reason
+	status int
 	open   bool
 }
 
@@ -48,10 +49,11 @@
 	t.records[a.Attempt] = attemptRecord{shard: a.Shard, server: a.Server, hedge: a.Hedge, sent: now, open: true}
 }
 
-func (t *attemptLog) ended(now time.Duration, attempt int, why tier.Reason) {
+// ended records the end of an attempt; status is 0 if there was no answer.
+func (t *attemptLog) ended(now time.Duration, attempt int, why tier.Reason, status int) {
 	if attempt < len(t.records) {
 		r := &t.records[attempt]
-		r.ended, r.reason, r.open = now, why, false
+		r.ended, r.reason, r.status, r.open = now, why, status, false
 	}
 }
 
@@ -65,6 +67,9 @@
 			continue
 		}
 		why, end := string(r.reason), r.ended
+		if why != "" && r.status >= http.StatusMultipleChoices {
+			why += ":" + strconv.Itoa(r.status)
+		}
 		if r.open {
 			why, end = "open", now
 		}
--- /dev/null
+++ b/internal/reqst/trail_test.go
@@ -0,0 +1,33 @@
+package reqst
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// TestTriesNameTheStatusOfFailures lists how the log line of a request describes its sub-requests.
+func TestTriesNameTheStatusOfFailures(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		reason tier.Reason
+		status int
+		hedge  bool
+		want   []string
+	}{
+		{"quick success", tier.ReasonNone, http.StatusOK, false, nil},
+		{"no answer", tier.ReasonLost, 0, false, []string{"2 s1 +0ms for 1ms connection_lost"}},
+		{"failure", tier.ReasonServerError, http.StatusNotFound, false, []string{"2 s1 +0ms for 1ms server_error:404"}},
+		{"unsigned success", tier.ReasonTruncated, http.StatusOK, false, []string{"2 s1 +0ms for 1ms truncated"}},
+		{"hedge that was refused", tier.ReasonShed, http.StatusServiceUnavailable, true, []string{"2 s1 +0ms for 1ms hedge server_shed:503"}},
+	} {
+		var log attemptLog
+		log.sent(0, Action{Attempt: 0, Shard: 2, Server: "s1", Hedge: c.hedge})
+		log.ended(time.Millisecond, 0, c.reason, c.status)
+		require.Equal(t, c.want, log.describeProblems(time.Second, 100*time.Millisecond), c.name)
+	}
+}
