reqst: a refusal whose status is changed loses the server's signature

A caller that trusts the signature then takes 502 for the server's own status.

The answer is now this node's own: status, reason and the time to come back, without the server's headers and body.

TestRefusalAfterARunIsNotTheServers failed before.

--- a/internal/reqst/relay.go
+++ b/internal/reqst/relay.go
@@ -98,13 +98,21 @@
 }
 
 // afterRun returns the answer to a request of which an earlier attempt may have run: a refusal then no longer means that it
-// has not run.
+// has not run. The answer of another status is not the server's and lacks its headers, the signature included.
 func (o Outbound) afterRun() Outbound {
-	switch o.Status {
+	if !saysNotRun(o.Status) {
+		return o
+	}
+	return Outbound{Status: http.StatusBadGateway, Reason: o.Reason, RetryAfter: o.RetryAfter, Release: o.Release}
+}
+
+// saysNotRun reports whether a status promises that a request has not run and will not.
+func saysNotRun(status int) bool {
+	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		o.Status = http.StatusBadGateway
+		return true
 	}
-	return o
+	return false
 }
 
 // lostRelay is the answer to a request that another node received and did not answer.
--- a/internal/reqst/relay_test.go
+++ b/internal/reqst/relay_test.go
@@ -65,6 +65,42 @@
 	}
 }
 
+// TestRefusalAfterARunIsNotTheServers: guards against a failure with a server's signature and another status than that
+// server gave: a relayed refusal whose status was changed, because an earlier attempt may have run, kept its headers.
+func TestRefusalAfterARunIsNotTheServers(t *testing.T) {
+	for _, c := range []struct {
+		status, want int
+		own          bool
+	}{
+		{http.StatusOK, http.StatusOK, false},
+		{http.StatusNotFound, http.StatusNotFound, false},
+		{http.StatusInternalServerError, http.StatusInternalServerError, false},
+		{http.StatusRequestTimeout, http.StatusBadGateway, true},
+		{http.StatusMisdirectedRequest, http.StatusBadGateway, true},
+		{http.StatusTooManyRequests, http.StatusBadGateway, true},
+		{http.StatusServiceUnavailable, http.StatusBadGateway, true},
+	} {
+		released := false
+		in := Outbound{
+			Status: c.status, Header: http.Header{"X-Signature": {"s"}}, Body: []byte("b"), RetryAfter: time.Second, Reason: tier.ReasonShed,
+			Release: func() { released = true },
+		}
+		out := in.afterRun()
+		require.Equal(t, c.want, out.Status)
+		require.Equal(t, time.Second, out.RetryAfter)
+		require.Equal(t, tier.ReasonShed, out.Reason)
+		if c.own {
+			require.Empty(t, out.Header, c.status)
+			require.Empty(t, out.Body, c.status)
+		} else {
+			require.Equal(t, in.Header, out.Header, c.status)
+			require.Equal(t, in.Body, out.Body, c.status)
+		}
+		out.Release()
+		require.True(t, released, c.status)
+	}
+}
+
 // cutForwarder returns a node whose servers no longer exist, after it has noticed.
 func cutForwarder(t *testing.T, shards int) *Forwarder {
 	d := benchForwarder(t, shards)
