reqst: a refusal without its mark is not passed on for writes

Found while looking at which statuses stand for more than the server said. A server's 408, 429 or 503 was passed on with its status on a route whose requests may run once only, although the server hadn't said that the request had not run. To the caller these statuses promise just that, and it sends the request again.

Such an answer now becomes 502, without the server's signature. Refusals with the mark stay what they are, as do all answers on idempotent routes.

TestRefusalWithoutItsMarkIsNotPassedOn failed before in three of its seven cases.

--- a/internal/reqst/outbound.go
+++ b/internal/reqst/outbound.go
@@ -34,8 +34,12 @@
 	return Outbound{Status: http.StatusBadGateway, Reason: why, RetryAfter: shortRetryAfter}
 }
 
-// serverAnswer returns the server's own answer without its hop-by-hop headers.
+// serverAnswer returns the server's own answer without its hop-by-hop headers. A refusal is not passed on for a request
+// that may run once only, because the server did not say that it had not run it.
 func (f *forwarding) serverAnswer() Outbound {
+	if !f.route.Idempotent && saysNotRun(f.lastAnswer.Status) {
+		return Outbound{Status: http.StatusBadGateway, Reason: tier.ReasonServerError}
+	}
 	h := f.lastAnswer.Header
 	conn.StripHopHeaders(h)
 	return Outbound{Status: f.lastAnswer.Status, Header: h, Body: f.lastAnswer.Body}
--- a/internal/reqst/parts_test.go
+++ b/internal/reqst/parts_test.go
@@ -75,16 +75,17 @@
 
 // gatherFrom forwards one request over two shards: the first one is scripted, the second one is sound.
 func gatherFrom(t *testing.T, heads func(n int64) string) (out Outbound, requests int64) {
+	r := vers.Route{Idempotent: true, Top: 20, MinShare: 0.5, Gather: []tier.Service{"shard-0", "shard-1"}}
+	return forwardScripted(t, r, heads)
+}
+
+// forwardScripted forwards one request on a route: the servers of shard-0 are scripted, those of shard-1 are sound.
+func forwardScripted(t *testing.T, r vers.Route, heads func(n int64) string) (out Outbound, requests int64) {
 	dir := &staticDirectory{services: map[tier.Service][]tier.Candidate{}, direct: map[tier.ServerID]*conn.Direct{}}
 	scripted, asked := scriptedShard(t, 0, heads, dir)
 	sound, _ := scriptedShard(t, 1, func(int64) string { return soundHead }, dir)
-	table := &vers.Routes{
-		Version: 1, Backends: []vers.Backend{{Name: scripted}, {Name: sound}},
-		Routes: []vers.Route{{
-			Name: "search", Host: "search.example", Prefix: "/", Idempotent: true, Timeout: 20 * time.Second, Target: 10 * time.Second,
-			Attempts: 2, Top: 20, MinShare: 0.5, Gather: []tier.Service{scripted, sound},
-		}},
-	}
+	r.Name, r.Host, r.Prefix, r.Timeout, r.Target, r.Attempts = "search", "search.example", "/", 20*time.Second, 10*time.Second, 2
+	table := &vers.Routes{Version: 1, Backends: []vers.Backend{{Name: scripted}, {Name: sound}}, Routes: []vers.Route{r}}
 	require.NoError(t, table.Check())
 	names := tier.DefaultHeaders()
 	names.Signature, names.Parts = "X-Signature", "X-Parts"
@@ -147,3 +148,28 @@
 		})
 	}
 }
+
+// TestRefusalWithoutItsMarkIsNotPassedOn: guards against telling a caller that a request that may run once only has not run,
+// when the server refused it without saying so.
+func TestRefusalWithoutItsMarkIsNotPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name, head string
+		idempotent bool
+		status     int
+		signature  string
+	}{
+		{"429", "HTTP/1.1 429 Too Many Requests\r\nX-Signature: s\r\n", false, http.StatusBadGateway, ""},
+		{"408", "HTTP/1.1 408 Request Timeout\r\nX-Signature: s\r\n", false, http.StatusBadGateway, ""},
+		{"503", "HTTP/1.1 503 Service Unavailable\r\nX-Signature: s\r\n", false, http.StatusBadGateway, ""},
+		{"429 with the mark", "HTTP/1.1 429 Too Many Requests\r\nX-Not-Run: 1\r\n", false, http.StatusServiceUnavailable, ""},
+		{"404", "HTTP/1.1 404 Not Found\r\nX-Signature: s\r\n", false, http.StatusNotFound, "s"},
+		{"500", "HTTP/1.1 500 Internal Server Error\r\nX-Signature: s\r\n", false, http.StatusInternalServerError, "s"},
+		{"429, may run again", "HTTP/1.1 429 Too Many Requests\r\nX-Signature: s\r\n", true, http.StatusTooManyRequests, "s"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out, _ := forwardScripted(t, vers.Route{Idempotent: c.idempotent, Service: "shard-0"}, func(int64) string { return c.head })
+			require.Equal(t, c.status, out.Status)
+			require.Equal(t, c.signature, out.Header.Get("X-Signature"))
+		})
+	}
+}
