edge: refuse announcements that name no server to use

Operators of other systems reported that one odd entry ended or stopped the machines that read the list of servers. Ports outside 1 to 65535, addresses that are none, negative and huge numbers, texts of 15,000 bytes, and ids with line breaks, spaces or bytes that are no text went into the membership. Requests would be sent to an address that can't be dialed, an id with a line break adds headers to requests for servers (Expected-Instance), and a record with bytes that are no text can't be decoded by other hosts, nor from disk, together with those next to it.

An announcement is now checked before it becomes a record: id, service, zone, address, port, slots, start, sequence and warm-up time, on edge nodes as on serve nodes, which share the checks of names and addresses. What is refused gets 400, a line (event 305, 20 a second at most) and the counter announcements_refused, and leaves all other entries as they are. Conversions of milliseconds no longer overflow.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -104,6 +104,8 @@
 	ctx      context.Context
 	servers  []server
 	logged   loggedState
+	// oddLog bounds the log lines about announcements and records that name no server to use.
+	oddLog event.Limit
 	// usage is accessed by maintain only.
 	usage usage
 }
@@ -379,8 +381,11 @@
 
 // Announce records a server's announcement and returns the address for later ones, or "" if this
 // node is stopping. If a server is leaving, Announce waits up to confirmTimeout for all hosts to
-// acknowledge the change.
-func (n *Node) Announce(ctx context.Context, r spread.Server) string {
+// acknowledge the change. It returns an error if the announcement names no server to use.
+func (n *Node) Announce(ctx context.Context, r spread.Server) (string, error) {
+	if err := r.Check(); err != nil {
+		return "", err
+	}
 	changed := false
 	n.gossip.withState(func(now time.Duration, s *spread.State) { changed = s.Announce(now, r) })
 	if changed {
@@ -390,9 +395,17 @@
 		n.waitConfirmed(ctx)
 	}
 	if n.stopping.Load() {
-		return ""
+		return "", nil
+	}
+	return n.Settings.Control, nil
+}
+
+// AnnouncementRefused logs and counts an announcement that names no server to use.
+func (n *Node) AnnouncementRefused(remote string, id tier.ServerID, err error) {
+	n.Stats.Count("announcements_refused", "content")
+	if n.oddLog.Allow(n.Clock.Now()) {
+		event.AnnouncementRefused.Log(n.Log, err, logrus.Fields{"remote": remote, "server": id.Short()})
 	}
-	return n.Settings.Control
 }
 
 // Leave records that a server has shut down, and waits like Announce.
--- a/internal/edge/own.go
+++ b/internal/edge/own.go
@@ -4,9 +4,7 @@
 	"net/http"
 
 	"github.com/labstack/echo/v4"
-	"github.com/sirupsen/logrus"
 
-	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/lease"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -47,16 +45,24 @@
 		return err
 	}
 	if err := lease.Check(a); err != nil {
-		event.AnnouncementRefused.Log(n.Log, err, logrus.Fields{"remote": c.RealIP()})
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		return n.refuseAnnouncement(c, a.Server, err)
 	}
 	r := spread.Server{ID: a.Server, Born: a.BornMs, Seq: a.Sequence, Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots}
 	if a.Draining {
 		r.State = spread.ServerDraining
 	}
+	address, err := n.Announce(c.Request().Context(), r)
+	if err != nil {
+		return n.refuseAnnouncement(c, a.Server, err)
+	}
 	ans := tier.AnnounceAnswer{LeaseMs: tier.ToMillis(leaseIntervals * n.Settings.AnnounceInterval)}
-	if address := n.Announce(c.Request().Context(), r); address != "" {
+	if address != "" {
 		ans.Addresses = []string{address}
 	}
 	return c.JSON(http.StatusOK, ans)
 }
+
+func (n *Node) refuseAnnouncement(c echo.Context, id tier.ServerID, err error) error {
+	n.AnnouncementRefused(c.RealIP(), id, err)
+	return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+}
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -82,7 +82,7 @@
 	ServerDied          = Event{302, logrus.WarnLevel, "server died with requests in flight", "Fields: server; from serve also instance, requests (number in flight); from edge and platform also fingerprint (of a request in flight)."}
 	ServerSilent        = Event{303, logrus.WarnLevel, "silent connection closed", "The server did not answer within server.silence. Fields: server, request."}
 	AnswerRejected      = Event{304, logrus.WarnLevel, "server answer rejected", "The answer was late, truncated, or belonged to another request, shard or index version. Fields: server, reason, request."}
-	AnnouncementRefused = Event{305, logrus.WarnLevel, "announcement refused", "The credential was wrong or the content was invalid. Fields: remote (not from serve if the content was invalid); from platform also server."}
+	AnnouncementRefused = Event{305, logrus.WarnLevel, "announcement refused", "The credential was wrong or the content names no server to use; other servers are not affected. From edge and platform limited to 20 lines a second. Fields: remote (not from serve if the content was invalid); from edge and platform also server."}
 	AccessRefused       = Event{306, logrus.WarnLevel, "access refused", "The account or the secret is wrong or missing. Fields: remote, account, path."}
 	RequestQuarantined  = Event{307, logrus.WarnLevel, "request refused as quarantined", "Fields: fingerprint; from serve also account, service; from edge and platform also request, route."}
 	WriteUnknown        = Event{308, logrus.WarnLevel, "write outcome unknown", "It is unknown whether the server executed the write. Fields: account, service, claim, server, reason."}
--- a/internal/proc/lease/lease.go
+++ b/internal/proc/lease/lease.go
@@ -13,11 +13,10 @@
 
 // Limits of an announcement.
 const (
-	MinLease     tier.Millis = 500
-	MaxLease     tier.Millis = 60000
-	MaxSlots                 = 10000
-	MaxNameBytes             = 200
-	MaxHoldings              = 64
+	MinLease    tier.Millis = 500
+	MaxLease    tier.Millis = 60000
+	MaxSlots                = 10000
+	MaxHoldings             = 64
 	// MaxShards limits the shards of a snapshot, because every node keeps a list of servers for each shard.
 	MaxShards tier.Shard = 10000
 )
@@ -88,16 +87,8 @@
 // Check validates an announcement. The error names the first invalid field.
 func Check(a tier.Announcement) error {
 	switch {
-	case a.Server == "" || len(a.Server) > MaxNameBytes:
-		return errors.Errorf("server: 1 to %d bytes are allowed", MaxNameBytes)
 	case a.Instance == 0:
 		return errors.New("instance: must not be 0")
-	case a.Service == "" || len(a.Service) > MaxNameBytes:
-		return errors.Errorf("service: 1 to %d bytes are allowed", MaxNameBytes)
-	case len(a.Zone) > MaxNameBytes:
-		return errors.Errorf("zone: at most %d bytes are allowed", MaxNameBytes)
-	case a.Address == "" || len(a.Address) > MaxNameBytes:
-		return errors.New("address: host:port is required")
 	case a.Slots < 1 || a.Slots > MaxSlots:
 		return errors.Errorf("slots: 1 to %d are allowed", MaxSlots)
 	case a.Conns < 1 || a.Conns > MaxSlots:
@@ -107,6 +98,11 @@
 	case len(a.Holdings) > MaxHoldings:
 		return errors.Errorf("holdings: at most %d are allowed", MaxHoldings)
 	}
+	for _, err := range []error{a.Server.Check(), a.Service.Check(), a.Zone.Check(), tier.CheckAddress(a.Address)} {
+		if err != nil {
+			return err
+		}
+	}
 	return checkHoldings(a.Holdings)
 }
 
--- a/internal/proc/lease/lease_test.go
+++ b/internal/proc/lease/lease_test.go
@@ -18,7 +18,7 @@
 
 func TestCheck(t *testing.T) {
 	require.NoError(t, Check(validAnnouncement()))
-	long := strings.Repeat("x", MaxNameBytes+1)
+	long := strings.Repeat("x", tier.MaxNameBytes+1)
 	holding := func(shards, shard tier.Shard) func(*tier.Announcement) {
 		return func(a *tier.Announcement) {
 			a.Holdings[0] = tier.Holding{Snapshot: tier.Snapshot{Version: 1, Shards: shards}, Shard: shard}
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -5,7 +5,10 @@
 package spread
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -88,6 +91,38 @@
 	Home tier.NodeID `cbor:"10,keyasint" json:"home"`
 }
 
+// Limits of a server's record.
+const (
+	maxSlots = 1 << 20
+	// maxBorn is in the year 2109, in Unix milliseconds.
+	maxBorn = 1 << 42
+	// maxSeq is the greatest integer that all JSON libraries keep exactly.
+	maxSeq  = 1 << 53
+	maxCold = tier.Millis(24 * time.Hour / time.Millisecond)
+)
+
+// Check reports why a record does not name a server to which requests can be sent.
+func (s *Server) Check() error {
+	switch {
+	case s.Born < 0 || s.Born > maxBorn:
+		return errors.New("born: not a time")
+	case s.Seq > maxSeq:
+		return errors.Errorf("sequence: at most %d is allowed", maxSeq)
+	case s.State > ServerGone:
+		return errors.Errorf("state: unknown number %d", s.State)
+	case s.Slots < 0 || s.Slots > maxSlots:
+		return errors.Errorf("slots: 0 to %d are allowed", maxSlots)
+	case s.ColdMs < 0 || s.ColdMs > maxCold:
+		return errors.Errorf("warm-up time: 0 to %d ms are allowed", maxCold)
+	}
+	for _, err := range []error{s.ID.Check(), s.Service.Check(), s.Zone.Check(), tier.CheckAddress(s.Address)} {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Live reports whether the server is ready or draining.
 func (s *Server) Live() bool { return s.State <= ServerDraining }
 
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -123,7 +123,7 @@
 	latencyMedians map[string]*pace.Median
 	minShare       WindowMin
 	started        time.Duration
-	failureLog     failureLimit
+	failureLog     event.Limit
 	suspects       Suspects
 	terms          terms.Table
 	reach          reach.Board
--- a/internal/reqst/trail.go
+++ b/internal/reqst/trail.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,9 +16,6 @@
 	// sampleOneIn is the sampling rate of successful requests in the log, as one in N.
 	// Sampling depends on the request's id, so that all nodes log the same requests.
 	sampleOneIn = 256
-	// failuresPerSecond is the maximum number of failed and late requests that a node logs
-	// per second.
-	failuresPerSecond = 20
 	// maxLoggedAttempts is the maximum number of attempts listed in one log line.
 	maxLoggedAttempts = 12
 )
@@ -82,23 +78,6 @@
 	return out
 }
 
-// failureLimit limits the number of failures logged per second.
-type failureLimit struct {
-	mu     sync.Mutex
-	second int64
-	count  int
-}
-
-func (l *failureLimit) allow(now time.Duration) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s := int64(now / time.Second); s != l.second {
-		l.second, l.count = s, 0
-	}
-	l.count++
-	return l.count <= failuresPerSecond
-}
-
 func sampled(id string) bool { return xxhash.Sum64String(id)%sampleOneIn == 0 }
 
 // log records statistics, and writes one line for a request that failed, was late or was
@@ -119,7 +98,7 @@
 	if late {
 		d.Stats.Count("requests_late", f.route.Name)
 	}
-	if (failed || late) && !d.failureLog.allow(now) {
+	if (failed || late) && !d.failureLog.Allow(now) {
 		d.Stats.Count("log_lines_dropped", "failures")
 		return
 	}
--- a/pkg/tier/ids.go
+++ b/pkg/tier/ids.go
@@ -3,6 +3,7 @@
 package tier
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -80,8 +81,18 @@
 // Millis is a duration in milliseconds, the unit used in settings and on the wire.
 type Millis int64
 
-// Duration converts m to a time.Duration.
-func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+// maxMillis is about 73 years: a quarter of the longest time.Duration, so that sums of a few do not overflow.
+const maxMillis = Millis(math.MaxInt64 / 4 / int64(time.Millisecond))
+
+// Duration converts m to a time.Duration. Values beyond 73 years are reduced to that.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(max(-maxMillis, min(m, maxMillis))) * time.Millisecond
+}
+
+// MillisOf rounds a number of milliseconds towards zero. Values beyond 73 years are reduced to that.
+func MillisOf(ms float64) Millis {
+	return Millis(max(-float64(maxMillis), min(ms, float64(maxMillis))))
+}
 
 // ToMillis converts d to Millis, rounding up so that a positive d never becomes 0.
 func ToMillis(d time.Duration) Millis {
