edge: one odd record no longer costs those next to it, or the process

What the door refuses now may already be in the membership: earlier builds accepted it, keep it on their disks and send it to new ones. Shown with a written file and crafted packets:

- a host record with a state that this build doesn't know ends the process (index out of range in the log line), again after each restart from the copy on disk;
- a record with text that is no UTF-8, or a field of another type, makes the whole packet or the whole copy on disk unreadable, with up to eight sound records in the packet and all of them in the file.

By reading: records with texts of 15,000 bytes make a packet longer than the receive buffer.

Text that isn't UTF-8 is now decoded as it is; lists of records are decoded one by one if the whole can't be; a record that names no server to use is kept, so that digests agree, but never becomes a target; packets are bounded by their bytes, and odd records travel alone, for the sake of hosts of earlier builds. Event 318 and records_ignored name what is left out.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -28,6 +28,8 @@
 	settings *Settings
 	clock    tier.Clock
 	onChange func(spread.Effects)
+	// onDropped is called for each packet with records that cannot be decoded.
+	onDropped func(source string, dropped int, err error)
 	// onTick, if not nil, is called at each tick.
 	onTick func()
 
@@ -134,7 +136,7 @@
 	defer stop()
 	buf := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := g.sock.ReadFromUDPAddrPort(buf)
+		n, from, err := g.sock.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -142,7 +144,11 @@
 			continue
 		}
 		var p spread.Packet
-		if frame.Unmarshal(buf[:n], &p) != nil {
+		dropped, err := frame.UnmarshalRecords(buf[:n], &p)
+		if dropped > 0 || err != nil {
+			g.onDropped(from.Addr().String(), dropped, err)
+		}
+		if err != nil {
 			continue
 		}
 		g.apply(false, func(now time.Duration, s *spread.State) { s.Receive(now, p) })
--- a/internal/edge/keep.go
+++ b/internal/edge/keep.go
@@ -43,7 +43,11 @@
 		return
 	}
 	var m savedMembership
-	if found, err := disk.LoadFile(filepath.Join(n.Settings.Data, membersFile), &m); found {
+	found, dropped, err := disk.LoadRecords(filepath.Join(n.Settings.Data, membersFile), &m)
+	if dropped > 0 {
+		n.recordsDropped(membersFile, dropped, nil)
+	}
+	if found {
 		n.gossip.withState(func(now time.Duration, s *spread.State) { s.Restore(now, m.Hosts, m.Servers) })
 	} else if err != nil {
 		event.LocalCopyFailed.Log(n.Log, err, nil)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -123,7 +123,10 @@
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
 	}
 	n.catalog.start()
-	n.gossip = &gossip{settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged, onTick: n.OnTick, currentChanged: make(chan struct{}, 1)}
+	n.gossip = &gossip{
+		settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged, onDropped: n.recordsDropped, onTick: n.OnTick,
+		currentChanged: make(chan struct{}, 1),
+	}
 	if n.Certs == nil {
 		n.Certs = &conn.Certs{EphemeralName: n.Settings.ID}
 	}
@@ -190,7 +193,7 @@
 // membershipChanged applies membership changes. It is called with the membership lock held.
 func (n *Node) membershipChanged(eff spread.Effects) {
 	if len(eff.Servers) > 0 {
-		n.catalog.update(eff.Servers)
+		n.catalog.update(n.withoutOdd(eff.Servers))
 		n.serversChanged(eff.Servers)
 	}
 	if eff.Hosts {
--- a/internal/edge/notes.go
+++ b/internal/edge/notes.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -37,7 +38,11 @@
 }
 
 func hostState(s spread.HostState) string {
-	return [...]string{"up", "leaving", "down"}[s]
+	names := [...]string{"up", "leaving", "down"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "unknown"
 }
 
 // serversChanged logs servers whose lease at this node has ended.
@@ -49,6 +54,39 @@
 	}
 }
 
+// withoutOdd returns a list of changed records in which those that name no server to use count as lost. Earlier builds
+// accepted them from other writers, and all hosts keep them so that their digests agree.
+func (n *Node) withoutOdd(list []spread.Server) []spread.Server {
+	var out []spread.Server
+	for i := range list {
+		r := &list[i]
+		err := r.Check()
+		if err == nil || !r.Live() {
+			continue
+		}
+		if out == nil {
+			out = slices.Clone(list)
+		}
+		out[i].State = spread.ServerLost
+		n.Stats.Count("records_ignored", "odd")
+		if n.oddLog.Allow(n.Clock.Now()) {
+			event.RecordIgnored.Log(n.Log, err, logrus.Fields{"source": r.Home, "server": r.ID.Short(), "records": 1})
+		}
+	}
+	if out == nil {
+		return list
+	}
+	return out
+}
+
+// recordsDropped logs records of a packet or a file that cannot be decoded. With an error, nothing of it can be.
+func (n *Node) recordsDropped(source string, dropped int, err error) {
+	n.Stats.Count("records_ignored", "unreadable")
+	if n.oddLog.Allow(n.Clock.Now()) {
+		event.RecordIgnored.Log(n.Log, err, logrus.Fields{"source": source, "records": dropped})
+	}
+}
+
 // controlReached logs when the leader of the control group becomes unreachable or reachable again.
 func (n *Node) controlReached(reached bool, leader tier.NodeID, err error) {
 	n.logged.mu.Lock()
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -29,7 +29,8 @@
 var decoder = mustDecoder()
 
 func mustDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	// Text that is not UTF-8 is kept: one such text must not cost the records next to it.
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/proc/disk/file.go
+++ b/internal/proc/disk/file.go
@@ -20,6 +20,19 @@
 
 // LoadFile decodes a file written by SaveFile into v. found is false if the file does not exist or cannot be read.
 func LoadFile(path string, v any) (found bool, err error) {
+	return load(path, func(p []byte) error { return frame.Unmarshal(p, v) })
+}
+
+// LoadRecords is LoadFile for a struct with lists of records: those that cannot be decoded are left out and counted.
+func LoadRecords(path string, v any) (found bool, dropped int, err error) {
+	found, err = load(path, func(p []byte) (err error) {
+		dropped, err = frame.UnmarshalRecords(p, v)
+		return err
+	})
+	return found, dropped, err
+}
+
+func load(path string, decode func([]byte) error) (found bool, err error) {
 	b, err := os.ReadFile(path)
 	if os.IsNotExist(err) {
 		return false, nil
@@ -29,7 +42,7 @@
 	}
 	n, err := scanRecords(b, func(p []byte) error {
 		found = true
-		return frame.Unmarshal(p, v)
+		return decode(p)
 	})
 	if err == nil && (!found || n != len(b)) {
 		err = errors.Wrap(tier.ErrCorrupt, "file is truncated")
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -94,6 +94,7 @@
 	RelayFailed         = Event{315, logrus.WarnLevel, "relay failed", "This node is cut off from the servers and passed a request to another node, which did not answer in time. Fields: request, route, peer."}
 	RequestDiverted     = Event{316, logrus.InfoLevel, "request diverted", "This node turned out to be cut off while the request waited for servers; it goes on through another node. Fields: request, route, after_ms."}
 	ServerLeaving       = Event{317, logrus.InfoLevel, "server leaves", "A server said in an answer that it is about to stop; it gets no more requests. Fields: server."}
+	RecordIgnored       = Event{318, logrus.WarnLevel, "membership record ignored", "A record in a packet of another node, or in the copy on the disk, cannot be decoded or names no server to use; the other records count. Limited, together with event 305, to 20 lines a second. Fields: source (the node that sent it or knows the server, or the file), records (how many); server if it can be decoded."}
 	RecordFailed        = Event{309, logrus.WarnLevel, "write record failed", "The outcome could not be recorded in time; a resend of the write gets the outcome unknown. Fields: claim."}
 )
 
@@ -103,5 +104,5 @@
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
 	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive, RoutesRestored,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
-	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving,
+	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored,
 }
--- a/internal/proc/spread/packet.go
+++ b/internal/proc/spread/packet.go
@@ -38,6 +38,9 @@
 	Server      tier.ServerID    `cbor:"2,keyasint"`
 }
 
+// faultBytes is the size of an encoded Fault with the longest id.
+const faultBytes = tier.MaxNameBytes + 16
+
 // Send is a packet and its destination.
 type Send struct {
 	To     tier.NodeID
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -149,14 +149,14 @@
 		s.Zone == o.Zone && s.Slots == o.Slots && s.Home == o.Home
 }
 
-// digest returns the hash of an encoded record.
-func digest(record any) uint32 {
+// digest returns the hash and the size of an encoded record.
+func digest(record any) (sum uint32, bytes int) {
 	b, err := frame.Marshal(record)
 	if err != nil {
 		// Unreachable: records are plain structs, which always encode.
 		panic(err)
 	}
-	return uint32(xxhash.Sum64(b))
+	return uint32(xxhash.Sum64(b)), len(b)
 }
 
 // Numbers of hash buckets for digest comparison. One differing record causes its whole bucket to be sent, which is
--- a/internal/proc/spread/spread_test.go
+++ b/internal/proc/spread/spread_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -452,3 +454,34 @@
 		}
 	}
 }
+
+// TestOddRecordsTravelAlone: guards against packets that hosts of an earlier build cannot decode because of one record, and
+// against packets too long for a datagram.
+func TestOddRecordsTravelAlone(t *testing.T) {
+	w := newNet(8, 2)
+	w.run(time.Second)
+	long := strings.Repeat("x", tier.MaxNameBytes-8)
+	for i := range 40 {
+		r := announcement(tier.ServerID(fmt.Sprint("i-", long, i)), 1, ServerReady)
+		r.Service, r.Zone = tier.Service(long), tier.Zone(long)
+		if i%5 == 0 {
+			r.ID = tier.ServerID(fmt.Sprint("\xff", i))
+		}
+		w.announce(nodeID(0), r)
+	}
+	odd, records := 0, 0
+	for _, p := range w.states[nodeID(0)].differingRecords(&Digest{}) {
+		b, err := frame.Marshal(p)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(b), maxPacketBytes+100)
+		records += len(p.Servers)
+		for i := range p.Servers {
+			if p.Servers[i].Check() != nil {
+				odd++
+				require.Len(t, p.Servers, 1)
+				require.Empty(t, p.Hosts)
+			}
+		}
+	}
+	require.Equal(t, []int{8, 40}, []int{odd, records})
+}
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -61,19 +61,23 @@
 	tombstoneRetention = 60 * time.Second
 	// downHostRetention is how long the record of a down host is kept and join probes are sent to it.
 	downHostRetention = 10 * time.Minute
-	// maxPacketRecords bounds the records in one packet, to about 1,200 bytes.
+	// maxPacketRecords bounds the records in one packet, to about 1,200 bytes. Packets of longer records have fewer, so that
+	// all fit into maxPacketBytes and with the packet's other fields into one Ethernet frame.
 	maxPacketRecords = 9
+	maxPacketBytes   = 1350
 )
 
 type hostEntry struct {
 	rec    Host
 	sum    uint32
+	bytes  int
 	downAt time.Duration
 }
 
 type serverEntry struct {
-	rec Server
-	sum uint32
+	rec   Server
+	sum   uint32
+	bytes int
 	// seq and lastAnnounced are of the latest announcement at this host, if it is the server's home.
 	seq           uint64
 	lastAnnounced time.Duration
@@ -272,7 +276,8 @@
 	if h.State == HostDown {
 		e.downAt = now
 	}
-	e.rec, e.sum = h, digest(&h)
+	e.rec = h
+	e.sum, e.bytes = digest(&h)
 	*s.digest.host(h.ID) += e.sum
 	s.effects.Hosts, s.lastChange = true, now
 	return true
@@ -293,7 +298,8 @@
 	if !r.Live() {
 		e.downAt = now
 	}
-	e.rec, e.sum = r, digest(&r)
+	e.rec = r
+	e.sum, e.bytes = digest(&r)
 	// A home that receives the record of its own server from a peer, after a restart, grants the server a full
 	// lease.
 	e.lastAnnounced = now
@@ -400,31 +406,40 @@
 	}
 }
 
-// pack distributes records over packets of at most maxPacketRecords each.
+// pack distributes records over packets of at most maxPacketRecords and maxPacketBytes each. A record that names no server
+// to use travels alone: a host of an earlier build may not be able to decode it.
 func (s *State) pack(hosts []tier.NodeID, servers []tier.ServerID, faults []Fault) []Packet {
 	var out []Packet
-	freeRecords := 0
-	next := func() *Packet {
-		if freeRecords == 0 {
+	freeRecords, freeBytes := 0, 0
+	next := func(bytes int) *Packet {
+		if freeRecords == 0 || freeBytes < bytes {
 			out = append(out, Packet{})
-			freeRecords = maxPacketRecords
+			freeRecords, freeBytes = maxPacketRecords, maxPacketBytes
 		}
 		freeRecords--
+		freeBytes -= bytes
 		return &out[len(out)-1]
 	}
 	for _, id := range hosts {
-		p := next()
-		p.Hosts = append(p.Hosts, s.hosts[id].rec)
+		e := s.hosts[id]
+		p := next(e.bytes)
+		p.Hosts = append(p.Hosts, e.rec)
 	}
+	var odd []Packet
 	for _, id := range servers {
-		p := next()
-		p.Servers = append(p.Servers, s.servers[id].rec)
+		e := s.servers[id]
+		if e.rec.Check() != nil {
+			odd = append(odd, Packet{Servers: []Server{e.rec}})
+			continue
+		}
+		p := next(e.bytes)
+		p.Servers = append(p.Servers, e.rec)
 	}
 	for _, f := range faults {
-		p := next()
+		p := next(faultBytes)
 		p.Faults = append(p.Faults, f)
 	}
-	return out
+	return append(out, odd...)
 }
 
 func (s *State) push(now time.Duration, to tier.NodeID, p Packet) {
