jsonc: limit the depth of JSON with comments

Found with the report on odd entries: a routing table in the native format with a megabyte of brackets, sent to an edge node's operator interface, ends the process by a stack overflow, which can't be caught: the parser of JSON with comments is recursive and has no limit. Settings, traces and load descriptions go through the same parser.

All five readers now share a package that counts the depth outside of strings and comments first and refuses more than 100. The platform's tables are plain JSON, whose decoder has a limit of its own.

--- a/internal/load/spec.go
+++ b/internal/load/spec.go
@@ -6,8 +6,7 @@
 	"encoding/json"
 	"os"
 
-	"github.com/tailscale/hujson"
-
+	"sassafrasring.dev/sassafrasring/internal/jsonc"
 	"sassafrasring.dev/sassafrasring/internal/stand"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -82,7 +81,7 @@
 	if err != nil {
 		return Spec{}, tier.At("read load description", path, err)
 	}
-	if b, err = hujson.Standardize(b); err != nil {
+	if b, err = jsonc.Standardize(b); err != nil {
 		return Spec{}, tier.At("parse load description", path, err)
 	}
 	var s Spec
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -9,9 +9,8 @@
 	"reflect"
 	"strings"
 
-	"github.com/tailscale/hujson"
-
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/jsonc"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -147,7 +146,7 @@
 // decode checks the keys and types of a file and decodes it into out, a pointer to settings that hold the defaults. The
 // error is Problems.
 func decode(path string, text []byte, out any) (*checker, error) {
-	root, err := hujson.Parse(text)
+	root, err := jsonc.Parse(text)
 	if err != nil {
 		return nil, Problems{{File: path, Line: lineOfError(err, text), Key: "(file)", Value: err.Error(), Allowed: "JSON with comments"}}
 	}
@@ -156,7 +155,7 @@
 	if len(c.problems) > 0 {
 		return nil, c.problems
 	}
-	plain, err := hujson.Standardize(append([]byte(nil), text...))
+	plain, err := jsonc.Standardize(text)
 	if err == nil {
 		err = json.NewDecoder(bytes.NewReader(plain)).Decode(out)
 	}
--- a/internal/stand/spec.go
+++ b/internal/stand/spec.go
@@ -7,8 +7,7 @@
 	"fmt"
 	"os"
 
-	"github.com/tailscale/hujson"
-
+	"sassafrasring.dev/sassafrasring/internal/jsonc"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -145,7 +144,7 @@
 }
 
 func parseSpec(path string, b []byte) (Spec, error) {
-	b, err := hujson.Standardize(b)
+	b, err := jsonc.Standardize(b)
 	if err != nil {
 		return Spec{}, tier.At("parse stand-in description", path, err)
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -10,8 +10,8 @@
 	"os"
 
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
 
+	"sassafrasring.dev/sassafrasring/internal/jsonc"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -60,7 +60,7 @@
 	if err != nil {
 		return Trace{}, tier.At("read trace", path, err)
 	}
-	if b, err = hujson.Standardize(b); err != nil {
+	if b, err = jsonc.Standardize(b); err != nil {
 		return Trace{}, tier.At("parse trace", path, err)
 	}
 	var t Trace
--- a/internal/vers/document.go
+++ b/internal/vers/document.go
@@ -6,8 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
 
+	"sassafrasring.dev/sassafrasring/internal/jsonc"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -56,7 +56,7 @@
 // DecodeRoutes decodes a routing table in the native format. Unknown fields are
 // errors; otherwise a misspelt field would be treated as absent.
 func DecodeRoutes(doc []byte) (*Routes, error) {
-	plain, err := hujson.Standardize(append([]byte(nil), doc...))
+	plain, err := jsonc.Standardize(doc)
 	if err != nil {
 		return nil, errors.Wrap(err, "routing table")
 	}
--- a/internal/vers/routes_test.go
+++ b/internal/vers/routes_test.go
@@ -1,11 +1,13 @@
 package vers
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"sassafrasring.dev/sassafrasring/internal/jsonc"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -70,3 +72,15 @@
 		require.Error(t, r.Check(), c.name)
 	}
 }
+
+// TestDeeplyNestedDocumentIsRefused: guards against a routing table that ends the process by a stack overflow.
+func TestDeeplyNestedDocumentIsRefused(t *testing.T) {
+	for _, doc := range []string{
+		strings.Repeat("[", 4<<20),
+		strings.Repeat(`{"routes":`, 1<<20),
+		`{"version": 1, "routes": [], "services": [{"name": "s", "more": ` + strings.Repeat("[", 2<<20) + strings.Repeat("]", 2<<20) + `}]}`,
+	} {
+		_, err := DecodeRoutes([]byte(doc))
+		require.ErrorIs(t, err, jsonc.ErrTooDeep)
+	}
+}
