platform: one odd seed costs that seed only

At its start the process ended, again and again; while it ran it kept seeds that may be gone.

The seeds are decoded one by one; an entry that is no IP address with a port is logged (event 226) and left out.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -274,6 +274,7 @@
 			return err
 		}
 	}
+	n.logIgnoredSeeds(s.IgnoredSeeds)
 	event.NodeStarted.Log(n.Log, nil, logrus.Fields{"node": s.ID, "name": s.Name, "zone": s.Zone, "boot": n.boot, "found": s.Bootstrap, "seeds": s.Seeds})
 	err := g.Run()
 	cancel()
--- a/internal/edge/notes.go
+++ b/internal/edge/notes.go
@@ -79,6 +79,13 @@
 	return out
 }
 
+// logIgnoredSeeds logs entries of the list of seeds that name no node.
+func (n *Node) logIgnoredSeeds(list []string) {
+	for _, s := range list {
+		event.SeedIgnored.Log(n.Log, nil, logrus.Fields{"seed": s})
+	}
+}
+
 // recordsDropped logs records of a packet or a file that cannot be decoded. With an error, nothing of it can be.
 func (n *Node) recordsDropped(source string, dropped int, err error) {
 	n.Stats.Count("records_ignored", "unreadable")
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -68,5 +68,6 @@
 	if !slices.Equal(s.Seeds, r.Node.gossip.seeds()) {
 		r.Node.gossip.setSeeds(s.Seeds)
 	}
+	r.Node.logIgnoredSeeds(s.IgnoredSeeds)
 	event.SettingsReloaded.Log(r.Node.Log, nil, logrus.Fields{"why": reason, "seeds": s.Seeds})
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -40,6 +40,8 @@
 	Source tier.NodeID
 	// Seeds are the nodes to contact first.
 	Seeds []tier.NodeID
+	// IgnoredSeeds are entries of the list of seeds that name no node. They are only logged.
+	IgnoredSeeds []string
 	// Bootstrap is set at the first start of the whole fleet and lets the seeds bootstrap the control
 	// group.
 	Bootstrap bool
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -71,6 +71,7 @@
 	ListenFailed        = Event{223, logrus.WarnLevel, "optional listener failed", "The metrics address cannot be opened; the node serves without a metrics listener."}
 	ReplicaUnresponsive = Event{224, logrus.WarnLevel, "control replica does not answer", "The replica did not answer the status request of the metrics endpoint; its disk may be hanging."}
 	RoutesRestored      = Event{225, logrus.ErrorLevel, "routing table committed again", "The control leader's state lacked the routing table in force, which it must have accepted before: its state came from a snapshot of an earlier build. It commits the table once more. Fields: version (of the table in force), held (by the state)."}
+	SeedIgnored         = Event{226, logrus.WarnLevel, "seed ignored", "An entry of the list of seeds is no IP address with a port; the other seeds are used. Fields: seed."}
 	HostChanged         = Event{216, logrus.InfoLevel, "host changed", "This node learned that a node joined, left, failed, restarted or changed its readiness. Fields: host, state, boot (start of its process), seq (version of its record), ready."}
 	SettingsInvalid     = Event{211, logrus.ErrorLevel, "settings invalid", "Not logged at present: the command prints the file, line and key of each problem to standard error and exits with code 3."}
 )
@@ -102,7 +103,7 @@
 var Catalogue = []Event{
 	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotCreated, SnapshotInstalled, DiskFailed, CommandUnreadable, ConfigAccepted, HubOpened, RoutesAccepted, SnapshotSent, SnapshotUnverified,
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
-	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive, RoutesRestored,
+	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive, RoutesRestored, SeedIgnored,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
 	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored,
 }
