reqst: huge numbers in a routing table cost no memory and no time

Times beyond the range of a duration overflowed, on arm64 and x86-64 in different ways.

The merge reserves room for the records that the parts hold, the limit of a part counts a million records at most, and times are reduced to 73 years, so that sums of a few can't overflow.

TestHugeNumberOfRecords ended with "out of memory" before.

--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -28,6 +28,8 @@
 	// minPartLimit: a server sends its records unsorted and may send more than it has to.
 	partLimitFactor = 64
 	minPartLimit    = 64 << 10
+	// maxTopRecords bounds the records of a merged answer that count for the limit of a part.
+	maxTopRecords = 1 << 20
 	// lingerFactor is the time that a sub-request that is no longer needed may keep running,
 	// as a multiple of the usual latency and bounded by minLinger and maxLinger. Most pauses
 	// of servers end within it.
@@ -185,7 +187,7 @@
 	if len(f.route.Gather) == 0 {
 		return 0
 	}
-	return max(minPartLimit, partLimitFactor*recordBytes*int64(f.route.Top))
+	return max(minPartLimit, partLimitFactor*recordBytes*min(int64(f.route.Top), maxTopRecords))
 }
 
 // minParts returns the number of parts that reach the route's minimum share.
--- a/internal/reqst/merge.go
+++ b/internal/reqst/merge.go
@@ -11,6 +11,11 @@
 // mergeTop returns the k greatest records of all parts in descending order. Trailing bytes
 // shorter than a record are ignored; duplicates are kept.
 func mergeTop(parts [][]byte, k int) []byte {
+	most := 0
+	for _, p := range parts {
+		most += len(p) / recordBytes
+	}
+	k = min(k, most)
 	top := make([][]byte, 0, k+1)
 	for _, p := range parts {
 		for ; len(p) >= recordBytes; p = p[recordBytes:] {
--- a/internal/reqst/parts_test.go
+++ b/internal/reqst/parts_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -173,3 +174,14 @@
 		})
 	}
 }
+
+// TestHugeNumberOfRecords: guards against a node that ends, or takes all memory, because a route asks for more records than
+// there can be.
+func TestHugeNumberOfRecords(t *testing.T) {
+	for _, top := range []int{1 << 31, math.MaxInt} {
+		r := vers.Route{Idempotent: true, Top: top, MinShare: 1, Gather: []tier.Service{"shard-0", "shard-1"}}
+		out, _ := forwardScripted(t, r, func(int64) string { return soundHead })
+		require.Equal(t, http.StatusOK, out.Status)
+		require.Equal(t, soundRecord+soundRecord, string(out.Body))
+	}
+}
--- a/pkg/tier/ids.go
+++ b/pkg/tier/ids.go
@@ -89,6 +89,11 @@
 	return time.Duration(max(-maxMillis, min(m, maxMillis))) * time.Millisecond
 }
 
+// DurationOf converts a number of milliseconds with fractions. Values beyond 73 years are reduced to that.
+func DurationOf(ms float64) time.Duration {
+	return time.Duration(max(-float64(maxMillis), min(ms, float64(maxMillis))) * float64(time.Millisecond))
+}
+
 // MillisOf rounds a number of milliseconds towards zero. Values beyond 73 years are reduced to that.
 func MillisOf(ms float64) Millis {
 	return Millis(max(-float64(maxMillis), min(ms, float64(maxMillis))))
