terms: an odd limit of a server ends with its next statement

After one limit of 1e300 requests a second, or a notice of another host with such a limit, the host's count of permits lost its precision and never kept a limit of that server again: 1,000 requests in 10 s at a limit of 10 a second. Huge numbers in a load header overflowed, and made a full server look idle.

A limit counts as 1,000,000 a second at most, a notice without a number is ignored, and a load header with a number above 1,000,000 is malformed.

TestOddLimitEndsWithTheNextStatement failed before (1,000 in place of 100).

--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -24,6 +24,8 @@
 	// minRate is the rate at which a server is still sent requests if its limit is lower: otherwise no answer could raise
 	// the limit.
 	minRate Rate = 0.25
+	// maxRate bounds a limit, far above what one server can do: the counts of permits would lose their precision.
+	maxRate Rate = 1e6
 	// changeTolerance is the relative change of a limit of which the fleet is told at once.
 	changeTolerance = 0.1
 	// leavingTTL is how long the word of a server without a known start counts that it leaves.
@@ -164,6 +166,7 @@
 	case s == nil:
 	case n.Leaving:
 		s.leave(now)
+	case n.Limited && !(n.Limit >= 0):
 	case n.Limited:
 		s.name(now, n.Limit)
 		s.toldAt, s.told = now, n.Limit
@@ -182,7 +185,7 @@
 }
 
 func (s *server) name(now time.Duration, limit Rate) {
-	s.limited, s.limit, s.statedAt = true, limit, now
+	s.limited, s.limit, s.statedAt = true, min(limit, maxRate), now
 }
 
 func (s *server) leave(now time.Duration) {
--- a/internal/proc/terms/table_test.go
+++ b/internal/proc/terms/table_test.go
@@ -1,6 +1,7 @@
 package terms
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -138,3 +139,33 @@
 	allowed, _ = other.Allowed(second, "a")
 	require.True(t, allowed, "the server has started again")
 }
+
+// TestOddLimitEndsWithTheNextStatement: guards against a limit that is never kept again after the server, or a notice of
+// another host, has once named a number that is too large, or none.
+func TestOddLimitEndsWithTheNextStatement(t *testing.T) {
+	for _, odd := range []Rate{1e300, math.MaxFloat64, Rate(math.Inf(1)), Rate(math.NaN()), -1} {
+		for _, received := range []bool{false, true} {
+			tab := newTable(1)
+			now := time.Second
+			if received {
+				tab.Receive(now, Notice{Server: "s", Born: 1, Limited: true, Limit: odd})
+			} else if !(odd >= 0) {
+				continue
+			} else {
+				tab.Record(now, "s", 1, stated(odd))
+			}
+			tab.Allowed(now, "s")
+			now += time.Second
+			tab.Allowed(now, "s")
+			tab.Record(now, "s", 1, stated(10))
+			sent := 0
+			for end := now + 10*time.Second; now < end; now += 10 * time.Millisecond {
+				if ok, _ := tab.Allowed(now, "s"); ok {
+					tab.Take(now, "s")
+					sent++
+				}
+			}
+			require.InDelta(t, 100, sent, 10, "%v, received: %v", odd, received)
+		}
+	}
+}
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -99,13 +99,16 @@
 // waiting, slots. Some platforms add the current service time in percent of the usual one.
 const minLoadFields = 3
 
+// maxLoad bounds the numbers of a load header, far above what one server can hold.
+const maxLoad = 1e6
+
 // parseLoad parses a load header; it returns the zero Load for a malformed one.
 func parseLoad(s string) pace.Load {
 	var v [minLoadFields + 1]int
 	fields := strings.Split(s, ",")
 	for i, f := range fields[:min(len(fields), len(v))] {
 		n, err := strconv.Atoi(strings.TrimSpace(f))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > maxLoad {
 			return pace.Load{}
 		}
 		v[i] = n
--- a/internal/reqst/asking_test.go
+++ b/internal/reqst/asking_test.go
@@ -22,6 +22,8 @@
 		{"3,x,8", pace.Load{}},
 		{"3,-1,8", pace.Load{}},
 		{"3,1,8,x", pace.Load{}},
+		{"3,9223372036854775807,8", pace.Load{}},
+		{"3,1,99999999999999999999", pace.Load{}},
 	} {
 		require.Equal(t, c.want, parseLoad(c.text), c.text)
 	}
