--- a/internal/proc/quorum/exact_test.go
+++ b/internal/proc/quorum/exact_test.go
@@ -60,6 +60,44 @@
 	}
 }
 
+// TestDelayedSnapshotKeepsAcknowledgedEntries: guards against the loss of entries that a replica has acknowledged and the
+// leader has committed with its vote, when a snapshot from before arrives late.
+func TestDelayedSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	const lead tier.ReplicaID = "a#1"
+	entries := func(term tier.Term, from, to tier.Index) (out []quorum.Entry) {
+		for i := from; i <= to; i++ {
+			out = append(out, quorum.Entry{Index: i, Term: term})
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name  string
+		snap  quorum.Snap
+		last  tier.Index
+		after []quorum.Entry
+	}{
+		{"within the log", quorum.Snap{Index: 8, Term: 1}, 12, entries(1, 9, 12)},
+		{"at its end", quorum.Snap{Index: 12, Term: 1}, 12, nil},
+		{"beyond its end", quorum.Snap{Index: 20, Term: 2}, 20, nil},
+		{"another log", quorum.Snap{Index: 8, Term: 2}, 8, nil},
+		{"already committed", quorum.Snap{Index: 4, Term: 1}, 12, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := quorum.Core{ID: "n#1", Heartbeat: testHeartbeat, Election: testElection, Rand: rand.New(rand.NewPCG(1, 1))}
+			members := quorum.Members{Voters: []tier.ReplicaID{lead, core.ID}}
+			core.Start(0, quorum.HardState{Term: 1}, quorum.Snap{Index: 2, Term: 1, Members: members}, nil)
+			core.Step(0, quorum.Msg{Kind: quorum.MsgAppend, From: lead, To: core.ID, Term: 1, PrevIndex: 2, PrevTerm: 1, Entries: entries(1, 3, 12), Commit: 5})
+			core.TakeEffects()
+			c.snap.Members, c.snap.Exact = members, true
+			core.Step(0, quorum.Msg{Kind: quorum.MsgSnap, From: lead, To: core.ID, Term: 2, Snap: &c.snap})
+			eff := core.TakeEffects()
+			require.Equal(t, c.last, core.LastIndex())
+			require.Equal(t, c.after, eff.Entries, "what the log on disk holds after the snapshot")
+			require.Equal(t, max(5, c.snap.Index), core.Applied())
+		})
+	}
+}
+
 // TestSnapshotsLeaveNoGap runs groups in which some replicas are of an earlier build, with random proposals, snapshots,
 // crashes and lost messages. No replica may leave out an entry, and all catch up in the end.
 func TestSnapshotsLeaveNoGap(t *testing.T) {
--- a/internal/proc/quorum/step.go
+++ b/internal/proc/quorum/step.go
@@ -149,15 +149,25 @@
 	}
 	s := *m.Snap
 	s.Exact = true
-	c.log.reset(s.Index, s.Term)
+	c.resetLog(&s)
 	c.snapMembers = s.Members
 	c.reloadMembers()
 	c.commit, c.applied = s.Index, s.Index
 	c.effects.Install = &s
-	c.effects.Entries, c.effects.Committed = nil, nil
+	c.effects.Entries, c.effects.Committed = c.log.slice(s.Index+1, len(c.log.entries)), nil
 	c.send(Msg{Kind: MsgAppendResp, To: m.From, Round: m.Round, Match: s.Index})
 }
 
+// resetLog makes the log start at a snapshot. Entries that follow an entry of the snapshot's index and term are kept: the
+// leader may have counted this replica's acknowledgement of them, and the snapshot may have been delayed.
+func (c *Core) resetLog(s *Snap) {
+	if t, ok := c.log.term(s.Index); ok && t == s.Term {
+		c.log.compact(s.Index)
+		return
+	}
+	c.log.reset(s.Index, s.Term)
+}
+
 func (c *Core) stepAppendResp(now time.Duration, m Msg) {
 	if m.Term > c.hard.Term {
 		c.becomeFollower(now, m.Term, "")
