reqst: hosts that pass a request on lease attempts to each other

Cause, by the trace of one request: a cut-off host passes it on, gives the second host up at half of the time left while that one's server works, and passes it to a third one. Neither host knows what the other has sent.

The first host now keeps one account: it leases attempts to the next one, which keeps to them for first tries, retries and hedges, and reports what it used. A lost answer counts as the whole lease; a host of an earlier build, or one not known to keep to leases, may use what the route allows and gets a request only while nothing is used. With nothing left for another host the second one gets all the time. Own attempts of a host that is cut off while it waits count unless the server has been silent since.

TestRequestsOfACutHostGoThroughAnother gets three cases that failed before in this sense (sent twice); its ten others are as they were, with hosts that say that they keep to leases.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -26,6 +26,10 @@
 	Body   []byte             `cbor:"7,keyasint,omitempty"`
 	LeftMs tier.Millis        `cbor:"8,keyasint"`
 	Routes vers.RoutesVersion `cbor:"9,keyasint"`
+	// Attempts is the number of servers of each shard that may run the request; 0 means what the route allows. Repeat is set
+	// if the request was counted at another node before.
+	Attempts int  `cbor:"10,keyasint,omitempty"`
+	Repeat   bool `cbor:"11,keyasint,omitempty"`
 }
 
 // relayReply is the answer to a relayRequest.
@@ -35,6 +39,10 @@
 	Body         []byte      `cbor:"3,keyasint,omitempty"`
 	RetryAfterMs tier.Millis `cbor:"4,keyasint,omitempty"`
 	Reason       tier.Reason `cbor:"5,keyasint,omitempty"`
+	// Attempts is the greatest number of servers of one shard that may have run the request. Accounted is set if the node
+	// keeps to the attempts of the request.
+	Attempts  int  `cbor:"6,keyasint,omitempty"`
+	Accounted bool `cbor:"7,keyasint,omitempty"`
 }
 
 // relayTo passes a caller's request to another node and returns its answer. The error wraps conn.ErrNotSent if that node
@@ -50,7 +58,7 @@
 	defer stop()
 	w := relayRequest{
 		ID: in.ID, Method: in.Method, Target: in.Target, Path: in.Path, Host: in.Host, Header: in.Header, Body: in.Body,
-		LeftMs: tier.ToMillis(in.TimeLeft), Routes: in.RoutesVersion,
+		LeftMs: tier.ToMillis(in.TimeLeft), Routes: in.RoutesVersion, Attempts: in.Attempts, Repeat: in.Repeat,
 	}
 	if err := s.Send(w); err != nil {
 		return reqst.Outbound{}, tier.At("send request", string(id), err)
@@ -59,7 +67,10 @@
 	if err := s.Recv(&r); err != nil {
 		return reqst.Outbound{}, tier.At("await relayed answer", string(id), err)
 	}
-	return reqst.Outbound{Status: r.Status, Header: r.Header, Body: r.Body, RetryAfter: r.RetryAfterMs.Duration(), Reason: r.Reason}, nil
+	return reqst.Outbound{
+		Status: r.Status, Header: r.Header, Body: r.Body, RetryAfter: r.RetryAfterMs.Duration(), Reason: r.Reason, Attempts: max(0, r.Attempts),
+		Accounted: r.Accounted,
+	}, nil
 }
 
 // serveRelay forwards a request that another node passed on. The request is given up when that node cancels the stream.
@@ -78,10 +89,13 @@
 	})
 	out := n.forwarder.Forward(ctx, &reqst.Inbound{
 		ID: w.ID, Method: w.Method, Target: w.Target, Path: w.Path, Host: w.Host, Header: w.Header, Body: w.Body, TimeLeft: w.LeftMs.Duration(),
-		Relayed: true, RoutesVersion: w.Routes,
+		Relayed: true, RoutesVersion: w.Routes, Attempts: w.Attempts, Repeat: w.Repeat,
 	})
 	if out.Release != nil {
 		defer out.Release()
 	}
-	_ = s.Send(relayReply{Status: out.Status, Header: out.Header, Body: out.Body, RetryAfterMs: tier.ToMillis(out.RetryAfter), Reason: out.Reason})
+	_ = s.Send(relayReply{
+		Status: out.Status, Header: out.Header, Body: out.Body, RetryAfterMs: tier.ToMillis(out.RetryAfter), Reason: out.Reason,
+		Attempts: out.Attempts, Accounted: true,
+	})
 }
--- a/internal/proc/reach/reach_test.go
+++ b/internal/proc/reach/reach_test.go
@@ -131,3 +131,24 @@
 	cut, _ := b.Update(now)
 	require.False(t, cut)
 }
+
+// TestServerIsSilentSinceItsLastAnswer lists what a server did before and after it was sent a request at 10 s.
+func TestServerIsSilentSinceItsLastAnswer(t *testing.T) {
+	const at = 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		events func(b *Board)
+		silent bool
+	}{
+		{"never tried", func(*Board) {}, true},
+		{"sent, no answer", func(b *Board) { b.Sent(at, "s", time.Millisecond) }, true},
+		{"answered before", func(b *Board) { b.Answered(at-1, "s"); b.Sent(at, "s", time.Millisecond) }, true},
+		{"answered another request since", func(b *Board) { b.Sent(at, "s", time.Millisecond); b.Answered(at+time.Millisecond, "s") }, false},
+		{"answered, then failed", func(b *Board) { b.Answered(at+time.Millisecond, "s"); b.Failed(at+2, "s"); b.Failed(at+2, "s") }, true},
+	} {
+		var b Board
+		b.Start()
+		c.events(&b)
+		require.Equal(t, c.silent, b.SilentSince(at+time.Second, "s", at), c.name)
+	}
+}
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -59,6 +59,10 @@
 	// Relayed is set if another node passed the request on; RoutesVersion is the version of its routing table.
 	Relayed       bool
 	RoutesVersion vers.RoutesVersion
+	// Attempts is the number of servers of each shard that may run a relayed request; 0 means what the route allows. Repeat
+	// is set if the request was counted at another node before.
+	Attempts int
+	Repeat   bool
 }
 
 // Outbound is the answer to a caller.
@@ -70,6 +74,10 @@
 	RetryAfter time.Duration
 	// Reason says why there is no answer from a server.
 	Reason tier.Reason
+	// Attempts is the greatest number of servers of one shard that may have run a relayed request. Accounted is set if it is
+	// known.
+	Attempts  int
+	Accounted bool
 	// Release, if not nil, must be called once Body has been written: it gives back the room that the
 	// servers' answers took.
 	Release func()
@@ -257,6 +265,7 @@
 	if done {
 		return out
 	}
+	out.Attempts, out.Accounted = f.plan.Used(nil), true
 	out.Release = f.reservations.Release
 	f.log(&out)
 	return out
@@ -267,7 +276,7 @@
 func (d *Forwarder) serve(ctx context.Context, f *forwarding, version vers.RoutesVersion) (out Outbound, done bool) {
 	in, r, began := f.in, f.route, d.Clock.Now()
 	if d.cut.Load() && d.relayable(in) {
-		if out, done = d.relay(ctx, in, r, version, began); done {
+		if out, done = d.relay(ctx, in, r, version, began, account{limit: r.MaxAttempts()}); done {
 			return out, true
 		}
 		left := began + in.timeLeft(r) - d.Clock.Now()
@@ -280,11 +289,8 @@
 	}
 	out = f.run(ctx)
 	if f.diverted {
-		if other, ok := d.relay(ctx, in, r, version, began); ok {
+		if other, ok := d.relay(ctx, in, r, version, began, f.account()); ok {
 			out = other
-			if f.plan.Ran() {
-				out = other.afterRun()
-			}
 		}
 	}
 	return out, false
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -96,7 +96,9 @@
 	if d.cut.Load() && len(layout.Shards)-f.countLostShards(now, layout) < max(1, f.plan.Options.MinShards) {
 		return refusal(tier.ReasonIsolated, shortRetryAfter)
 	}
-	f.countFirstRequests(now)
+	if !f.in.Repeat {
+		f.countFirstRequests(now)
+	}
 	f.perform(now, f.plan.Start(now))
 	f.loop(ctx)
 	f.cancelOpen(ctx)
@@ -168,10 +170,18 @@
 	return l, servers
 }
 
+// maxAttempts returns how many servers of a shard may run the request.
+func (f *forwarding) maxAttempts() int {
+	if f.in.Attempts > 0 {
+		return min(f.in.Attempts, f.route.MaxAttempts())
+	}
+	return f.route.MaxAttempts()
+}
+
 // planOptions returns the options of the plan, from the route and the request.
 func (f *forwarding) planOptions() PlanOptions {
 	r := f.route
-	t := PlanOptions{Deadline: f.deadline, Timeout: f.deadline, MaxAttempts: max(1, r.Attempts), NonIdempotent: !r.Idempotent, RefusedBackoff: refusedBackoff}
+	t := PlanOptions{Deadline: f.deadline, Timeout: f.deadline, MaxAttempts: f.maxAttempts(), NonIdempotent: !r.Idempotent, RefusedBackoff: refusedBackoff}
 	if r.Idempotent {
 		t.HedgeDelay = time.Duration(hedgeEarlyFactor * float64(f.kind.Base))
 	}
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -82,6 +82,8 @@
 	sent   time.Duration
 	hedge  bool
 	open   bool
+	// notRun is set if the server has certainly not run it.
+	notRun bool
 }
 
 // part is the state of one shard.
@@ -259,6 +261,7 @@
 	p.parts[a.shard].open--
 	p.ran = p.ran || r.Result != conn.ResultNotRun
 	if r.Result == conn.ResultNotRun {
+		a.notRun = true
 		p.parts[a.shard].counted--
 	}
 	p.queued = max(p.queued, time.Duration(r.QueuedUs)*time.Microsecond)
@@ -411,6 +414,25 @@
 	return p.ran || (p.finished && slices.ContainsFunc(p.attempts, func(a attempt) bool { return a.open }))
 }
 
+// Used returns the greatest number of servers of one shard that may have run their part. If except is not nil, attempts for
+// which it returns true do not count: it gets the server and the time at which the sub-request was sent.
+func (p *Plan) Used(except func(id tier.ServerID, sent time.Duration) bool) (most int) {
+	if except == nil {
+		for i := range p.parts {
+			most = max(most, p.parts[i].counted)
+		}
+		return most
+	}
+	used := make([]int, len(p.parts))
+	for i := range p.attempts {
+		if a := &p.attempts[i]; !a.notRun && !except(a.server, a.sent) {
+			used[a.shard]++
+			most = max(most, used[a.shard])
+		}
+	}
+	return most
+}
+
 // CoveredParts returns the signatures and data of the answered shards, in shard order, and
 // the number of unanswered ones.
 func (p *Plan) CoveredParts() (signatures []string, data [][]byte, missing int) {
--- a/internal/reqst/reach.go
+++ b/internal/reqst/reach.go
@@ -72,7 +72,11 @@
 func (f *forwarding) divert() bool {
 	d := f.forwarder
 	now := d.Clock.Now()
-	if f.plan.Covered() || len(d.RelayPeers()) == 0 || !d.spendRepeats(f.services) {
+	if f.plan.Covered() {
+		return false
+	}
+	acct := f.account()
+	if _, _, ok := d.pickRelay(now, &acct); !ok || !d.spendRepeats(f.services) {
 		return false
 	}
 	f.plan.Abort()
@@ -82,6 +86,17 @@
 	return true
 }
 
+// account returns the account of a request that this node gives up because it is cut off. Servers that have not answered
+// anything since they got the request are cut off too: they do not count, as they would not if they had failed.
+func (f *forwarding) account() account {
+	d := f.forwarder
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	used := f.plan.Used(func(id tier.ServerID, sent time.Duration) bool { return d.reach.SilentSince(now, id, sent) })
+	return account{limit: f.route.MaxAttempts(), used: used, ran: f.plan.Ran(), counted: true}
+}
+
 // countLostShards returns the number of shards of which this node reaches no server.
 func (f *forwarding) countLostShards(now time.Duration, l *vers.Layout) (n int) {
 	d := f.forwarder
--- a/internal/reqst/relay.go
+++ b/internal/reqst/relay.go
@@ -29,14 +29,17 @@
 type relayPeers struct {
 	next       int
 	avoidUntil map[tier.NodeID]time.Duration
+	// keepsLeases holds the nodes that are known to keep to leased attempts.
+	keepsLeases map[tier.NodeID]bool
 }
 
-// pick returns the next node of the list that is not avoided; ok is false if there is none.
-func (p *relayPeers) pick(now time.Duration, list []tier.NodeID) (id tier.NodeID, ok bool) {
+// pick returns the next node of the list that is not avoided, and with mustKeep is known to keep to leased attempts; ok is
+// false if there is none.
+func (p *relayPeers) pick(now time.Duration, list []tier.NodeID, mustKeep bool) (id tier.NodeID, ok bool) {
 	for range list {
 		id = list[p.next%len(list)]
 		p.next++
-		if now >= p.avoidUntil[id] {
+		if now >= p.avoidUntil[id] && (!mustKeep || p.keepsLeases[id]) {
 			return id, true
 		}
 	}
@@ -56,35 +59,49 @@
 	return d.RelayTo != nil && !in.Relayed
 }
 
-// pickRelay returns a node that reaches the servers, as far as is known; ok is false if there is none.
-func (d *Forwarder) pickRelay(now time.Duration) (id tier.NodeID, ok bool) {
+// pickRelay returns a node that reaches the servers, as far as is known, and whether it is known to keep to leased attempts;
+// ok is false if there is none for the account.
+func (d *Forwarder) pickRelay(now time.Duration, acct *account) (id tier.NodeID, keeps, ok bool) {
+	if acct.left() == 0 {
+		return "", false, false
+	}
 	list := d.RelayPeers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.relays.pick(now, list)
+	id, ok = d.relays.pick(now, list, acct.mustKeep())
+	return id, d.relays.keepsLeases[id], ok
 }
 
 // relay sends a request through another node, because this one is cut off from the servers. ok is false if no node
-// received it; the request has then not run.
-func (d *Forwarder) relay(ctx context.Context, in *Inbound, r *vers.Route, version vers.RoutesVersion, began time.Duration) (out Outbound, ok bool) {
+// received it; another node has then not run it.
+func (d *Forwarder) relay(ctx context.Context, in *Inbound, r *vers.Route, version vers.RoutesVersion, began time.Duration, acct account) (out Outbound, ok bool) {
 	deadline := began + in.timeLeft(r)
-	mayHaveRun := false
-	for range maxRelays {
+	var peers []tier.NodeID
+	for i := range maxRelays {
 		now := d.Clock.Now()
-		peer, found := d.pickRelay(now)
-		if !found || now >= deadline {
+		if now >= deadline {
+			break
+		}
+		peer, keeps, found := d.pickRelay(now, &acct)
+		if !found {
 			break
 		}
-		next, err := d.relayOnce(ctx, peer, in, r, version, deadline-now)
+		attempts := acct.lease(keeps, i+1 < maxRelays)
+		peers = append(peers, peer)
+		forward := *in
+		forward.Relayed, forward.RoutesVersion, forward.TimeLeft = true, version, deadline-now
+		forward.Attempts, forward.Repeat = attempts, acct.counted
+		ranBefore := acct.ran
+		next, err := d.relayOnce(ctx, peer, &forward, r, relayWait(r, deadline-now, acct.exhausted()))
+		acct.settle(&next, err)
 		switch {
 		case errors.Is(err, conn.ErrNotSent):
 			continue
-		case err == nil && mayHaveRun:
+		case err == nil && ranBefore:
 			out, ok = next.afterRun(), true
 		case err == nil:
 			out, ok = next, true
 		default:
-			mayHaveRun = true
 			out, ok = lostRelay(d.Clock.Now() >= deadline), true
 		}
 		if !d.relayAgain(ctx, r, &out, err) {
@@ -92,11 +109,20 @@
 		}
 	}
 	if ok {
-		d.recordRelayed(r, &out, d.Clock.Now()-began)
+		d.recordRelayed(in, r, &out, d.Clock.Now()-began, peers)
 	}
 	return out, ok
 }
 
+// relayWait returns how long a node has for a request with this much time left. An idempotent request leaves time for
+// another node, unless none may get it any more.
+func relayWait(r *vers.Route, left time.Duration, exhausted bool) time.Duration {
+	if !r.Idempotent || exhausted {
+		return left
+	}
+	return max(left/relayShareDivisor, min(left, r.Objective()))
+}
+
 // afterRun returns the answer to a request of which an earlier attempt may have run: a refusal then no longer means that it
 // has not run. The answer of another status is not the server's and lacks its headers, the signature included.
 func (o Outbound) afterRun() Outbound {
@@ -132,19 +158,15 @@
 	return r.Idempotent && ctx.Err() == nil && d.spendRepeats(r.Services())
 }
 
-// relayOnce sends a request through one node. An error that does not wrap conn.ErrNotSent means that it may have run.
-func (d *Forwarder) relayOnce(ctx context.Context, peer tier.NodeID, in *Inbound, r *vers.Route, version vers.RoutesVersion, left time.Duration) (Outbound, error) {
+// relayOnce sends a request through one node and waits at most so long. An error that does not wrap conn.ErrNotSent means
+// that it may have run.
+func (d *Forwarder) relayOnce(ctx context.Context, peer tier.NodeID, in *Inbound, r *vers.Route, wait time.Duration) (Outbound, error) {
 	began := d.Clock.Now()
-	forward := *in
-	forward.Relayed, forward.RoutesVersion, forward.TimeLeft = true, version, left
-	wait := left
-	if r.Idempotent {
-		wait = max(left/relayShareDivisor, min(left, r.Objective()))
-	}
 	callCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	out, err := d.RelayTo(callCtx, peer, &forward)
+	out, err := d.RelayTo(callCtx, peer, in)
 	now := d.Clock.Now()
+	d.learnLeases(peer, &out, err)
 	switch {
 	case err == nil:
 		d.Stats.Latency("relay", r.Name, now-began)
@@ -158,10 +180,37 @@
 	return out, err
 }
 
-func (d *Forwarder) recordRelayed(r *vers.Route, out *Outbound, took time.Duration) {
+// learnLeases records whether a node keeps to leased attempts: it says so in its answers. After an error it may have been
+// replaced by an earlier build.
+func (d *Forwarder) learnLeases(id tier.NodeID, out *Outbound, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil || !out.Accounted {
+		delete(d.relays.keepsLeases, id)
+		return
+	}
+	if d.relays.keepsLeases == nil {
+		d.relays.keepsLeases = map[tier.NodeID]bool{}
+	}
+	d.relays.keepsLeases[id] = true
+}
+
+// recordRelayed records statistics of a relayed request, and writes a line if it failed.
+func (d *Forwarder) recordRelayed(in *Inbound, r *vers.Route, out *Outbound, took time.Duration, peers []tier.NodeID) {
 	d.Stats.Latency("route", r.Name, took)
 	d.Stats.Count("requests", r.Name+"/"+strconv.Itoa(out.Status))
 	d.Stats.Count("relays", r.Name+"/"+strconv.Itoa(out.Status))
+	if out.Status < http.StatusInternalServerError && out.Status != http.StatusTooManyRequests {
+		return
+	}
+	d.Stats.Count("requests_failed", r.Name+"/"+string(out.Reason))
+	if !d.failureLog.Allow(d.Clock.Now()) {
+		d.Stats.Count("log_lines_dropped", "failures")
+		return
+	}
+	event.RequestFailed.Log(d.Log, nil, logrus.Fields{
+		"request": in.ID, "route": r.Name, "status": out.Status, "reason": out.Reason, "took_ms": took.Milliseconds(), "relays": peers,
+	})
 }
 
 // spendRepeats spends one extra sub-request of each service from the budget; it returns false if one has none left.
--- a/internal/reqst/relay_test.go
+++ b/internal/reqst/relay_test.go
@@ -33,17 +33,23 @@
 		relayed    bool
 		status     int
 		sent       int
+		// attempts is what the route allows, 2 if 0; former is set if the other nodes do not keep to leased attempts.
+		attempts int
+		former   bool
 	}{
-		{"served", true, []reply{{out: served}}, true, 200, 1},
-		{"refused: passed on as it is", true, []reply{{out: refused}}, true, 503, 1},
-		{"the first does not get it", false, []reply{{err: conn.ErrNotSent}, {out: served}}, true, 200, 2},
-		{"nobody gets it", true, []reply{{err: conn.ErrNotSent}, {err: conn.ErrNotSent}}, false, 0, 2},
-		{"the first is cut off too", false, []reply{{out: isolated}, {out: served}}, true, 200, 2},
-		{"all are cut off", true, []reply{{out: isolated}, {out: isolated}}, true, 503, 2},
-		{"no answer, may run again", true, []reply{{err: errNoAnswer}, {out: served}}, true, 200, 2},
-		{"no answer, must not run again", false, []reply{{err: errNoAnswer}, {out: served}}, true, 502, 1},
-		{"no answer, then refused: the first may have run", true, []reply{{err: errNoAnswer}, {out: refused}}, true, 502, 2},
-		{"no answer twice", true, []reply{{err: errNoAnswer}, {err: errNoAnswer}}, true, 502, 2},
+		{name: "no answer, one attempt is allowed", idempotent: true, replies: []reply{{err: errNoAnswer}, {out: served}}, relayed: true, status: 502, sent: 1, attempts: 1},
+		{name: "no answer of a former build, which may have used all", idempotent: true, replies: []reply{{err: errNoAnswer}, {out: served}}, relayed: true, status: 502, sent: 1, former: true},
+		{name: "the first is cut off too, one attempt is allowed", idempotent: true, replies: []reply{{out: isolated}, {out: served}}, relayed: true, status: 200, sent: 2, attempts: 1},
+		{"served", true, []reply{{out: served}}, true, 200, 1, 0, false},
+		{"refused: passed on as it is", true, []reply{{out: refused}}, true, 503, 1, 0, false},
+		{"the first does not get it", false, []reply{{err: conn.ErrNotSent}, {out: served}}, true, 200, 2, 0, false},
+		{"nobody gets it", true, []reply{{err: conn.ErrNotSent}, {err: conn.ErrNotSent}}, false, 0, 2, 0, false},
+		{"the first is cut off too", false, []reply{{out: isolated}, {out: served}}, true, 200, 2, 0, false},
+		{"all are cut off", true, []reply{{out: isolated}, {out: isolated}}, true, 503, 2, 0, false},
+		{"no answer, may run again", true, []reply{{err: errNoAnswer}, {out: served}}, true, 200, 2, 0, false},
+		{"no answer, must not run again", false, []reply{{err: errNoAnswer}, {out: served}}, true, 502, 1, 0, false},
+		{"no answer, then refused: the first may have run", true, []reply{{err: errNoAnswer}, {out: refused}}, true, 502, 2, 0, false},
+		{"no answer twice", true, []reply{{err: errNoAnswer}, {err: errNoAnswer}}, true, 502, 2, 0, false},
 	} {
 		d := benchForwarder(t, 1)
 		sent := 0
@@ -54,11 +60,18 @@
 			require.Positive(t, in.TimeLeft, c.name)
 			r := c.replies[sent]
 			sent++
+			r.out.Accounted = !c.former
 			return r.out, r.err
 		}
 		r := d.Routes().Routes[0]
 		r.Idempotent = c.idempotent
-		out, ok := d.relay(context.Background(), &Inbound{ID: "id", TimeLeft: time.Second}, &r, 7, d.Clock.Now())
+		if c.attempts > 0 {
+			r.Attempts = c.attempts
+		}
+		for _, id := range d.RelayPeers() {
+			d.learnLeases(id, &Outbound{Accounted: !c.former}, nil)
+		}
+		out, ok := d.relay(context.Background(), &Inbound{ID: "id", TimeLeft: time.Second}, &r, 7, d.Clock.Now(), account{limit: r.MaxAttempts()})
 		require.Equal(t, c.relayed, ok, c.name)
 		require.Equal(t, c.status, out.Status, c.name)
 		require.Equal(t, c.sent, sent, c.name)
@@ -242,10 +255,10 @@
 		at   time.Duration
 		want tier.NodeID
 	}{{0, "a"}, {0, "c"}, {0, "a"}, {relayAvoidance, "b"}} {
-		id, ok := p.pick(c.at, list)
+		id, ok := p.pick(c.at, list, false)
 		require.True(t, ok)
 		require.Equal(t, c.want, id)
 	}
-	_, ok := p.pick(0, nil)
+	_, ok := p.pick(0, nil, false)
 	require.False(t, ok)
 }
--- a/internal/vers/routes.go
+++ b/internal/vers/routes.go
@@ -60,6 +60,9 @@
 	return r.Timeout
 }
 
+// MaxAttempts returns the maximum number of servers to which a request is sent, per shard.
+func (r *Route) MaxAttempts() int { return max(1, r.Attempts) }
+
 // Services returns all services that the route refers to.
 func (r *Route) Services() []tier.Service {
 	if r.Service != "" {
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -24,4 +24,7 @@
 check steer '' pass
 check steer '-DFOUR' pass
 for v in '-DFOUR -DNOTERM' -DTWO -DREFOUND; do check steer "$v" caught; done
+check relay '' pass
+for limit in 1 3; do check relay "-DLIMIT=$limit" pass; done
+for v in NOLEASE RETURN ANYNODE TRUST PROMISE COUNT; do check relay "-D$v" caught; done
 echo "models: all as expected"
