spread: hosts that start are told which requests crash servers

Cause: deaths are in the memory of each process and told to the others once, when they happen. A host that starts later hears of none.

The answers to a host that introduces itself, after a start or a suspension, now bring the deaths that count, 48 at most, with their age, so that passing them on doesn't prolong a quarantine.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -23,13 +23,15 @@
 )
 
 // gossip runs the membership protocol: it passes datagrams and ticks to the membership state and
-// reports changes to the node through onChange. Lock order: mu, then the catalog's mu.
+// reports changes to the node through onChange. Lock order: mu, then the catalog's mu or the forwarder's.
 type gossip struct {
 	settings *Settings
 	clock    tier.Clock
 	onChange func(spread.Effects)
 	// onDropped is called for each packet with records that cannot be decoded.
 	onDropped func(source string, dropped int, err error)
+	// knownFaults returns the faults that hosts must know once they have started.
+	knownFaults func() []spread.Fault
 	// onTick, if not nil, is called at each tick.
 	onTick func()
 
@@ -61,7 +63,7 @@
 		return tier.At("listen for gossip", addr.String(), err)
 	}
 	g.peers = map[tier.NodeID]netip.AddrPort{}
-	g.state = spread.State{Lease: lease, Seeds: g.settings.Seeds, Rand: rand.New(rand.NewPCG(self.Boot, rand.Uint64()))}
+	g.state = spread.State{Lease: lease, Seeds: g.settings.Seeds, KnownFaults: g.knownFaults, Rand: rand.New(rand.NewPCG(self.Boot, rand.Uint64()))}
 	g.withState(func(now time.Duration, s *spread.State) { s.Start(now, self) })
 	return nil
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -125,6 +125,7 @@
 	n.catalog.start()
 	n.gossip = &gossip{
 		settings: &n.Settings, clock: n.LeaseClock, onChange: n.membershipChanged, onDropped: n.recordsDropped, onTick: n.OnTick,
+		knownFaults:    n.knownFaults,
 		currentChanged: make(chan struct{}, 1),
 	}
 	if n.Certs == nil {
@@ -200,7 +201,7 @@
 		n.hostsChanged(n.gossip.list())
 	}
 	for _, f := range eff.Faults {
-		n.forwarder.Blame(f.Fingerprint, f.Server)
+		n.forwarder.Blame(reqst.Death{Fingerprint: f.Fingerprint, Server: f.Server, Age: f.AgeMs.Duration()})
 	}
 	for _, t := range eff.Notices {
 		n.forwarder.ReceiveNotice(t)
@@ -219,6 +220,14 @@
 	})
 }
 
+// knownFaults returns the deaths under requests that other hosts must know once they have started.
+func (n *Node) knownFaults() (out []spread.Fault) {
+	for _, d := range n.forwarder.Deaths(spread.MaxKnownFaults) {
+		out = append(out, spread.Fault{Fingerprint: d.Fingerprint, Server: d.Server, AgeMs: tier.ToMillis(d.Age)})
+	}
+	return out
+}
+
 // sendNotice tells the fleet what a server stated to this node.
 func (n *Node) sendNotice(t terms.Notice) {
 	n.workers.Go(func() {
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -90,6 +90,9 @@
 			s.digestSent = now
 			reply.Digest = &local
 		}
+		if len(p.Hosts) > 0 {
+			s.sendKnownFaults(p.From)
+		}
 		s.send(p.From, reply)
 		return
 	}
@@ -120,6 +123,17 @@
 	}
 }
 
+// sendKnownFaults tells a host that introduces itself which requests failed servers. It repeats its introduction, so that lost
+// packets do not matter.
+func (s *State) sendKnownFaults(to tier.NodeID) {
+	if s.KnownFaults == nil {
+		return
+	}
+	for _, p := range s.pack(nil, nil, s.KnownFaults()) {
+		s.send(to, p)
+	}
+}
+
 // shouldSendDigest reports whether a probe with a different sum is answered with the digest: always for a host that
 // introduces itself, otherwise only once pushes that may explain the difference have had time to arrive.
 func (s *State) shouldSendDigest(now time.Duration, p *Packet) bool {
--- /dev/null
+++ b/internal/proc/spread/faults_test.go
@@ -0,0 +1,66 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// TestStartedHostLearnsOfFaults: guards against hosts that forget a request which crashes servers when they are restarted, so
+// that it crashes three more with each of them. All hosts of a fleet restart in turn, and one is added; each knows the faults
+// by the time at which it counts as current, also under loss.
+func TestStartedHostLearnsOfFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		hosts int
+		loss  float64
+	}{{"three hosts", 3, 0}, {"eleven hosts", 11, 0}, {"loss", 11, 0.1}, {"seventy hosts", 70, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newNet(4, c.hosts)
+			known := map[tier.NodeID]map[Fault]bool{}
+			supply := func(id tier.NodeID) {
+				known[id] = map[Fault]bool{}
+				w.states[id].KnownFaults = func() (out []Fault) {
+					for f := range known[id] {
+						out = append(out, Fault{Fingerprint: f.Fingerprint, Server: f.Server, AgeMs: 7000})
+					}
+					return out
+				}
+			}
+			w.onFaults = func(id tier.NodeID, list []Fault) {
+				for _, f := range list {
+					known[id][Fault{Fingerprint: f.Fingerprint, Server: f.Server}] = true
+				}
+			}
+			for _, id := range w.order {
+				supply(id)
+			}
+			w.run(3 * time.Second)
+			for _, server := range []tier.ServerID{"a", "b", "c"} {
+				f := Fault{Fingerprint: 9, Server: server}
+				known[nodeID(0)][f] = true
+				w.states[nodeID(0)].ReportFault(w.now, f)
+				w.collect(nodeID(0))
+			}
+			w.run(2 * time.Second)
+			w.loss = c.loss
+			restart := func(id tier.NodeID) {
+				w.start(id, []tier.NodeID{nodeID(0), nodeID(1), nodeID(2)}, uint64(1+w.now/time.Millisecond))
+				supply(id)
+				w.untilCurrent(id)
+				if c.loss > 0 {
+					w.run(time.Second)
+				}
+				require.Len(t, known[id], 3, "%s", id)
+			}
+			for _, id := range w.order[:min(len(w.order), 12)] {
+				restart(id)
+				w.run(200 * time.Millisecond)
+			}
+			restart("10.9.9.9")
+		})
+	}
+}
--- a/internal/proc/spread/packet.go
+++ b/internal/proc/spread/packet.go
@@ -36,10 +36,15 @@
 type Fault struct {
 	Fingerprint tier.Fingerprint `cbor:"1,keyasint"`
 	Server      tier.ServerID    `cbor:"2,keyasint"`
+	// AgeMs is the time since the failure.
+	AgeMs tier.Millis `cbor:"3,keyasint,omitempty"`
 }
 
 // faultBytes is the size of an encoded Fault with the longest id.
-const faultBytes = tier.MaxNameBytes + 16
+const faultBytes = tier.MaxNameBytes + 24
+
+// MaxKnownFaults is the maximum number of faults of which a host is told that introduces itself.
+const MaxKnownFaults = 48
 
 // Send is a packet and its destination.
 type Send struct {
--- a/internal/proc/spread/spread_test.go
+++ b/internal/proc/spread/spread_test.go
@@ -29,6 +29,8 @@
 	inFlight []delayedSend
 	// onSend is called for every packet sent.
 	onSend func(*Packet)
+	// onFaults is called for the faults that a host receives.
+	onFaults func(id tier.NodeID, list []Fault)
 	// routes is the version of a new routing table; hosts that learn of it fetch it at once.
 	routes vers.RoutesVersion
 }
@@ -76,6 +78,9 @@
 		w.states[from].SetRoutes(w.now, w.routes)
 		eff.Sends = append(eff.Sends, w.states[from].TakeEffects().Sends...)
 	}
+	if w.onFaults != nil {
+		w.onFaults(from, eff.Faults)
+	}
 	for _, s := range eff.Sends {
 		if w.onSend != nil {
 			w.onSend(&s.Packet)
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -106,6 +106,9 @@
 	Seeds []tier.NodeID
 	// Rand selects the peers to probe and join.
 	Rand *rand.Rand
+	// KnownFaults, if not nil, returns the faults that count, at most MaxKnownFaults. A host that introduces itself has missed
+	// their reports.
+	KnownFaults func() []Fault
 
 	self         Host
 	routes       vers.RoutesVersion
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -304,10 +304,18 @@
 
 // Blame records that a server died while running a request, on this or another node. It
 // reports whether the death was new.
-func (d *Forwarder) Blame(f tier.Fingerprint, id tier.ServerID) (fresh bool) {
+func (d *Forwarder) Blame(death Death) (fresh bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.suspects.Blame(d.Clock.Now(), f, id)
+	return d.suspects.Blame(d.Clock.Now(), death)
+}
+
+// Deaths returns the deaths under requests that count, on this or other nodes, at most limit of
+// them.
+func (d *Forwarder) Deaths(limit int) []Death {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.suspects.List(d.Clock.Now(), limit)
 }
 
 // timeLeft returns how long the caller of a request on a route will wait.
--- a/internal/reqst/suspects.go
+++ b/internal/reqst/suspects.go
@@ -1,6 +1,7 @@
 package reqst
 
 import (
+	"sort"
 	"time"
 
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -26,9 +27,21 @@
 	deaths map[tier.Fingerprint]map[tier.ServerID]time.Duration
 }
 
-// Blame records that a server died while running a request; fresh is false if the death
-// was already known or maxSuspects is reached.
-func (s *Suspects) Blame(now time.Duration, f tier.Fingerprint, id tier.ServerID) (fresh bool) {
+// Death is the death of a server while it ran a request.
+type Death struct {
+	Fingerprint tier.Fingerprint
+	Server      tier.ServerID
+	// Age is the time since the death.
+	Age time.Duration
+}
+
+// Blame records a death; fresh is false if it was already known, is too long ago, or maxSuspects
+// is reached.
+func (s *Suspects) Blame(now time.Duration, d Death) (fresh bool) {
+	f, id, at := d.Fingerprint, d.Server, now-max(0, d.Age)
+	if now-at >= deathTTL {
+		return false
+	}
 	if s.deaths == nil {
 		s.deaths = map[tier.Fingerprint]map[tier.ServerID]time.Duration{}
 	}
@@ -41,11 +54,44 @@
 		}
 		s.deaths[f] = map[tier.ServerID]time.Duration{}
 	}
-	_, known := s.deaths[f][id]
-	s.deaths[f][id] = now
+	before, known := s.deaths[f][id]
+	if !known || at > before {
+		s.deaths[f][id] = at
+	}
 	return !known
 }
 
+// List returns the deaths that count, at most limit of them, those of the requests with the most
+// deaths first.
+func (s *Suspects) List(now time.Duration, limit int) []Death {
+	type suspect struct {
+		fingerprint tier.Fingerprint
+		deaths      int
+	}
+	var suspects []suspect
+	for f := range s.deaths {
+		if n := s.Deaths(now, f); n > 0 {
+			suspects = append(suspects, suspect{f, n})
+		}
+	}
+	sort.Slice(suspects, func(i, j int) bool {
+		a, b := suspects[i], suspects[j]
+		return a.deaths > b.deaths || (a.deaths == b.deaths && a.fingerprint < b.fingerprint)
+	})
+	var out []Death
+	for _, p := range suspects {
+		for id, at := range s.deaths[p.fingerprint] {
+			if len(out) == limit {
+				return out
+			}
+			if now-at < deathTTL {
+				out = append(out, Death{p.fingerprint, id, now - at})
+			}
+		}
+	}
+	return out
+}
+
 func (s *Suspects) evictExpired(now time.Duration) {
 	for f := range s.deaths {
 		if s.Deaths(now, f) == 0 {
