spread: a host that starts from its disk takes no other host for down

The loaded records get the version before their own: the host still probes them, and the first comparison brings the others' records.

--- a/internal/proc/spread/current_test.go
+++ b/internal/proc/spread/current_test.go
@@ -99,3 +99,33 @@
 	w := newNet(1, 1)
 	require.True(t, w.states[nodeID(0)].Current(w.now))
 }
+
+// TestRestartFromOldRecordsTakesNoHostDown: guards against a host that starts from the records on its disk and has the whole
+// fleet take all other hosts for down until each has refuted it.
+func TestRestartFromOldRecordsTakesNoHostDown(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newNet(seed, 8)
+		w.run(3 * time.Second)
+		id := nodeID(5)
+		hosts, servers := w.states[id].Hosts(), w.states[id].Servers()
+		w.down[id] = true
+		w.run(300 * time.Millisecond)
+		w.down[id] = false
+		w.start(id, []tier.NodeID{nodeID(0), nodeID(1), nodeID(2)}, uint64(2+w.now/time.Millisecond))
+		w.states[id].Restore(w.now, hosts, servers)
+		for range 200 {
+			w.run(10 * time.Millisecond)
+			for _, other := range w.order {
+				if other == id {
+					continue
+				}
+				for _, h := range w.states[other].Hosts() {
+					require.True(t, h.State == HostUp || h.ID == id, "seed %d: %s takes %s for down", seed, other, h.ID)
+				}
+			}
+		}
+		for _, h := range w.states[id].Hosts() {
+			require.Equal(t, HostUp, h.State, "seed %d: %s", seed, h.ID)
+		}
+	}
+}
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -5,6 +5,7 @@
 package spread
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,6 +64,16 @@
 	return h.State < o.State
 }
 
+// before returns the record with the version before its own.
+func (h Host) before() Host {
+	if h.Seq > 0 {
+		h.Seq--
+		return h
+	}
+	h.Boot, h.Seq = max(h.Boot, 1)-1, math.MaxUint64/2
+	return h
+}
+
 // ServerState is the state of a server in the membership. Between records of equal version the higher state wins.
 type ServerState uint8
 
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -160,15 +160,16 @@
 	s.changedHosts = append(s.changedHosts, self.ID)
 }
 
-// Restore loads the records saved before a restart. Hosts count as down until they send a newer record, and servers
-// get a full lease in which to announce themselves again.
+// Restore loads the records saved before a restart. Hosts count as down here until a newer record arrives, and servers
+// get a full lease in which to announce themselves again. The hosts' records get an older version, so that those of the other
+// hosts win over them.
 func (s *State) Restore(now time.Duration, hosts []Host, servers []Server) {
 	for _, h := range hosts {
 		if h.ID == s.self.ID {
 			continue
 		}
 		h.State = HostDown
-		s.putHost(now, h)
+		s.putHost(now, h.before())
 	}
 	for _, r := range servers {
 		s.putServer(now, r)
