disk: a replica syncs its log when it opens it

Seen by the review by reading (no case): a record that was written but not yet synced when the process was killed is read back after the restart, counts as durable, and may be lost with the power before the next write. A torn end that is cut off wasn't synced either.

Open now syncs the log once, after it is opened for appending; one sync at each start of a replica.

TestOpenMakesDurableWhatItReads failed before (no sync).

--- a/internal/proc/disk/folder.go
+++ b/internal/proc/disk/folder.go
@@ -82,7 +82,8 @@
 	Entries []quorum.Entry    `cbor:"2,keyasint,omitempty"`
 }
 
-// Open locks the folder, creates an identity if there is none, reads the state and opens the log for appending.
+// Open locks the folder, creates an identity if there is none, reads the state and opens the log for appending. It syncs the
+// log: a record that was written but not synced before the process was killed is read back, and must not be lost later.
 func (f *Folder) Open() (State, error) {
 	var s State
 	if err := os.MkdirAll(f.Path, folderMode); err != nil {
@@ -100,7 +101,10 @@
 	if err := f.loadLog(&s); err != nil {
 		return s, err
 	}
-	return s, f.openLog()
+	if err := f.openLog(); err != nil {
+		return s, err
+	}
+	return s, tier.At("sync log", f.Path, f.log.Sync())
 }
 
 // ID returns the replica ID stored in the folder.
--- a/internal/proc/disk/folder_test.go
+++ b/internal/proc/disk/folder_test.go
@@ -285,3 +285,31 @@
 		}
 	})
 }
+
+// syncCounter counts the syncs of a log.
+type syncCounter struct {
+	tier.File
+	syncs int
+}
+
+func (c *syncCounter) Sync() error {
+	c.syncs++
+	return c.File.Sync()
+}
+
+// TestOpenMakesDurableWhatItReads: guards against the loss of an acknowledged entry with the power: a process that was killed
+// between the write and the sync of a record reads it back after its restart and acknowledges it.
+func TestOpenMakesDurableWhatItReads(t *testing.T) {
+	path := newFilledFolder(t)
+	var log *syncCounter
+	f := &Folder{Path: path, Node: "c1", OpenLog: func(p string) (tier.File, error) {
+		file, err := openAppend(p)
+		log = &syncCounter{File: file}
+		return log, err
+	}}
+	s, err := f.Open()
+	require.NoError(t, err)
+	require.NotEmpty(t, s.Entries)
+	require.Equal(t, 1, log.syncs)
+	require.NoError(t, f.Close())
+}
