--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -83,19 +83,11 @@
 // is answered with the records of the buckets that differ. If that digest came in reply to a probe, the local digest
 // is added, so that the peer sends its differing records too.
 func (s *State) compareDigests(now time.Duration, p Packet) {
-	local := s.digest
 	if p.Probe != 0 {
-		reply := Packet{Reply: p.Probe}
-		if p.Sum != local.sum() && s.shouldSendDigest(now, &p) {
-			s.digestSent = now
-			reply.Digest = &local
-		}
-		if len(p.Hosts) > 0 {
-			s.sendKnownFaults(p.From)
-		}
-		s.send(p.From, reply)
+		s.answerProbe(now, &p)
 		return
 	}
+	local := s.digest
 	if p.Digest == nil || *p.Digest == local {
 		s.synced = s.synced || p.Reply != 0
 		if p.Digest != nil && p.Reply == 0 {
@@ -123,6 +115,20 @@
 	}
 }
 
+// answerProbe answers a probe, with the digest if the sums differ and with the known faults if the host introduces itself.
+func (s *State) answerProbe(now time.Duration, p *Packet) {
+	local := s.digest
+	reply := Packet{Reply: p.Probe}
+	if p.Sum != local.sum() && s.shouldSendDigest(now, p) {
+		s.digestSent = now
+		reply.Digest = &local
+	}
+	if len(p.Hosts) > 0 {
+		s.sendKnownFaults(p.From)
+	}
+	s.send(p.From, reply)
+}
+
 // sendKnownFaults tells a host that introduces itself which requests failed servers. It repeats its introduction, so that lost
 // packets do not matter.
 func (s *State) sendKnownFaults(to tier.NodeID) {
--- a/internal/proc/terms/table_test.go
+++ b/internal/proc/terms/table_test.go
@@ -147,12 +147,14 @@
 		for _, received := range []bool{false, true} {
 			tab := newTable(1)
 			now := time.Second
-			if received {
+			switch {
+			case received:
 				tab.Receive(now, Notice{Server: "s", Born: 1, Limited: true, Limit: odd})
-			} else if !(odd >= 0) {
-				continue
-			} else {
+			case odd >= 0:
 				tab.Record(now, "s", 1, stated(odd))
+			default:
+				// ParseLimit refuses it.
+				continue
 			}
 			tab.Allowed(now, "s")
 			now += time.Second
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -132,11 +132,11 @@
 	return len(v) == 1 && !strings.Contains(v[0], ",")
 }
 
-// classify sets the result and reason of a reply from the server's answer or the error. A route with one service passes
-// on whatever its server answers; a route that gathers needs successes, as a failure has no records.
+// classify sets the result and reason of a reply from the server's answer or the error.
 func (d *Forwarder) classify(rep *directReply, err error, gathers bool) {
-	h := rep.answer.Header
-	switch s := rep.answer.Status; {
+	switch {
+	case err == nil:
+		d.classifyAnswer(rep, gathers)
 	case errors.Is(err, conn.ErrNotSent):
 		rep.Result, rep.Reason = conn.ResultNotRun, tier.ReasonLost
 	case errors.Is(err, conn.ErrRefused):
@@ -147,8 +147,16 @@
 		rep.Reason = tier.ReasonNoRoom
 	case errors.Is(err, conn.ErrMalformed):
 		rep.Reason = tier.ReasonTruncated
-	case err != nil:
+	default:
 		rep.Reason = tier.ReasonLost
+	}
+}
+
+// classifyAnswer sets the result and reason of a reply from the server's answer. A route with one service passes on whatever
+// its server answers; a route that gathers needs successes, as a failure has no records.
+func (d *Forwarder) classifyAnswer(rep *directReply, gathers bool) {
+	h := rep.answer.Header
+	switch s := rep.answer.Status; {
 	case s == http.StatusMisdirectedRequest:
 		rep.Result, rep.Reason = conn.ResultNotRun, tier.ReasonNoOwner
 	case h.Get(d.Names.NotRun) != "":
