--- a/internal/edge/odd_test.go
+++ b/internal/edge/odd_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +20,43 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
+// TestHugeAnnouncementIsRefused: guards against a server's announcement that takes all memory of a node.
+func TestHugeAnnouncementIsRefused(t *testing.T) {
+	n := newControlNode(Settings{ID: "127.0.0.1"})
+	n.Build()
+	control := n.StandardListeners("127.0.0.1:1", "127.0.0.1:2")[1].Handler
+	body := &countingReader{Reader: io.MultiReader(strings.NewReader(`{"server":"`), io.LimitReader(endlessText{}, 64<<20))}
+	req := httptest.NewRequest(http.MethodPost, "/v1/announce", body)
+	req.Header.Set("Content-Type", "application/json")
+	w := httptest.NewRecorder()
+	control.ServeHTTP(w, req)
+	require.Equal(t, http.StatusBadRequest, w.Code)
+	require.Less(t, body.read, int64(1<<20))
+	require.EqualValues(t, 1, n.Stats.Counter("announcements_refused", "content"))
+}
+
+// endlessText is a text without end.
+type endlessText struct{}
+
+func (endlessText) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+// countingReader counts the bytes read.
+type countingReader struct {
+	io.Reader
+	read int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += int64(n)
+	return n, err
+}
+
 // fields is an encoded record or packet by its keys.
 type fields = map[uint64]any
 
--- a/internal/edge/own.go
+++ b/internal/edge/own.go
@@ -10,6 +10,9 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
+// maxAnnouncementBytes bounds an announcement with the most holdings.
+const maxAnnouncementBytes = 64 << 10
+
 // StandardListeners returns the HTTP interfaces of a node that runs without a platform: one address
 // for callers, another for servers and operators.
 func (n *Node) StandardListeners(callers, control string) []Listener {
@@ -41,8 +44,9 @@
 // postAnnounce handles a server's announcement.
 func (n *Node) postAnnounce(c echo.Context) error {
 	var a tier.Announcement
+	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes)
 	if err := c.Bind(&a); err != nil {
-		return err
+		return n.refuseAnnouncement(c, "", err)
 	}
 	if err := lease.Check(a); err != nil {
 		return n.refuseAnnouncement(c, a.Server, err)
