--- a/internal/reqst/parts_test.go
+++ b/internal/reqst/parts_test.go
@@ -28,6 +28,9 @@
 	soundHead   = "HTTP/1.1 200 OK\r\nX-Signature: sound\r\n"
 )
 
+// missingHeader is the header with the number of missing parts.
+var missingHeader = tier.DefaultHeaders().Missing
+
 // scriptedShard starts the servers of one shard. heads returns the status line and the headers of the n-th answer of the
 // whole shard; the body is soundRecord after soundHead, else wrongRecord.
 func scriptedShard(t *testing.T, shard int, heads func(n int64) string, dir *staticDirectory) (tier.Service, *atomic.Int64) {
@@ -136,14 +139,14 @@
 			})
 			require.Equal(t, http.StatusOK, out.Status)
 			require.Equal(t, "sound, sound", out.Header.Get("X-Parts"), "one other server is asked")
-			require.Equal(t, "0", out.Header.Get("X-Missing-Parts"))
+			require.Equal(t, "0", out.Header.Get(missingHeader))
 			require.Equal(t, soundRecord+soundRecord, string(out.Body))
 			require.EqualValues(t, 2, requests)
 
 			out, requests = gatherFrom(t, func(int64) string { return c.head })
 			require.Equal(t, http.StatusOK, out.Status)
 			require.Equal(t, "sound", out.Header.Get("X-Parts"))
-			require.Equal(t, "1", out.Header.Get("X-Missing-Parts"))
+			require.Equal(t, "1", out.Header.Get(missingHeader))
 			require.Equal(t, soundRecord, string(out.Body))
 			require.EqualValues(t, 2, requests, "the route allows two attempts a shard")
 		})
