--- a/internal/proc/spread/faults_test.go
+++ b/internal/proc/spread/faults_test.go
@@ -10,8 +10,8 @@
 )
 
 // TestStartedHostLearnsOfFaults: guards against hosts that forget a request which crashes servers when they are restarted, so
-// that it crashes three more with each of them. All hosts of a fleet restart in turn, and one is added; each knows the faults
-// by the time at which it counts as current, also under loss.
+// that it crashes three more with each of them. Up to twelve hosts of a fleet restart in turn, and one is added; each knows the
+// faults by the time at which it counts as current, and under loss a second later.
 func TestStartedHostLearnsOfFaults(t *testing.T) {
 	for _, c := range []struct {
 		name  string
