conn, edge: stray answers and repeated IDs are logged and counted

Cause: an answer that a server sends in place of the one that is waited for was thrown away without a trace, and no line named a connection, so that the hypotheses of docs/incidents/2026-12-05-second-answers.md could not be told apart.

--- a/internal/cmdln/losses.go
+++ b/internal/cmdln/losses.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -143,10 +144,10 @@
 }
 
 // parseTry returns the server and the cause of a logged sub-request: "SHARD SERVER +1ms for 2ms CAUSE",
-// with "hedge" before the cause of a hedge.
+// with "conn=..." and "hedge" before the cause where they apply.
 func parseTry(text string) (server, cause string) {
 	const fields = 5
-	f := strings.Fields(text)
+	f := slices.DeleteFunc(strings.Fields(text), func(s string) bool { return strings.HasPrefix(s, "conn=") })
 	if len(f) < fields {
 		return "", causeUnknown
 	}
--- a/internal/cmdln/losses_test.go
+++ b/internal/cmdln/losses_test.go
@@ -15,8 +15,8 @@
 	require.NoError(t, os.WriteFile(path, []byte(`{"event":200,"msg":"node started","time":"2026-12-04T07:00:00.000Z"}
 {"event":310,"request":"1","route":"search","status":200,"late":false,"missing":0,"tries":null,"time":"2026-12-04T07:10:00.100Z"}
 {"event":310,"request":"2","route":"search","status":200,"late":true,"missing":1,"tries":["3 i-7 +0ms for 90ms ","3 i-8 +20ms for 70ms hedge open"],"time":"2026-12-04T07:10:00.200Z"}
-{"event":310,"request":"3","route":"search","status":200,"late":true,"missing":0,"tries":["3 i-7 +0ms for 90ms ","4 i-9 +20ms for 70ms hedge "],"time":"2026-12-04T07:10:02.200Z"}
-{"event":310,"request":"4","route":"search","status":200,"late":false,"missing":2,"tries":["3 i-7 +0ms for 1ms server_shed"],"time":"2026-12-04T07:10:00.300Z"}
+{"event":310,"request":"3","route":"search","status":200,"late":true,"missing":0,"tries":["3 i-7 +0ms for 90ms conn=4/31 ","4 i-9 +20ms for 70ms conn=1/2 hedge "],"time":"2026-12-04T07:10:02.200Z"}
+{"event":310,"request":"4","route":"search","status":200,"late":false,"missing":2,"tries":["3 i-7 +0ms for 1ms conn=4/32 server_shed"],"time":"2026-12-04T07:10:00.300Z"}
 {"event":311,"request":"5","route":"order","status":502,"late":false,"missing":1,"reason":"connection_lost","tries":["0 i-1 +0ms for 3ms connection_lost"],"time":"2026-12-04T07:10:00.400Z"}
 {"event":311,"request":"6","route":"order","status":503,"late":false,"missing":1,"reason":"no_server","tries":null,"time":"2026-12-04T07:10:00.500Z"}
 not a line of ours
--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,8 +45,13 @@
 	Limits *AnswerLimits
 	// OnDial, if not nil, is called after each new connection is established.
 	OnDial func()
+	// OnStray, if not nil, is called for each Stray.
+	OnStray func(Stray)
+	// OnRepeat, if not nil, is called for each Repeat.
+	OnRepeat func(Repeat)
 
-	idle idleStack[*directConn]
+	idle   idleStack[*directConn]
+	opened atomic.Uint64
 
 	// goneMu is held while NotListening dials the server; it guards the fields below.
 	goneMu        sync.Mutex
@@ -101,7 +107,12 @@
 		_ = c.Close()
 		return nil, errors.Wrap(ErrNotSent, "new connection did not stay open")
 	}
-	return newDirectConn(c.(*net.TCPConn))
+	dc, err := newDirectConn(c.(*net.TCPConn))
+	if err != nil {
+		return nil, err
+	}
+	dc.use.Conn, dc.onStray = d.opened.Add(1), d.OnStray
+	return dc, nil
 }
 
 // Probe reports whether the server accepts a new connection. It is kept for the next request, and replaces the idle ones,
@@ -153,6 +164,9 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	if d.OnRepeat != nil && o.ID != "" && c.carried.contains(o.ID) {
+		d.OnRepeat(Repeat{Server: d.Server, Conn: c.use.Conn, Request: o.ID})
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	resp, reuse, err := c.exchange(o, d.limits(), d.Server, remaining)
 	if stop() && err == nil && reuse {
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -48,6 +48,11 @@
 	sentAt        time.Time
 	// pending is an encoded request that the next Read writes.
 	pending []byte
+	// use is the current use; carried holds the IDs of the requests of all uses.
+	use     Use
+	carried history
+	// onStray, if not nil, is called for each Stray.
+	onStray func(Stray)
 }
 
 // Close closes the connection.
@@ -123,6 +128,8 @@
 	}
 	b = append(b, "\r\n"...)
 	b = append(b, o.Body...)
+	c.use.Place++
+	defer c.carried.add(o.ID)
 	written := make(chan error, 1)
 	if len(o.Body) < longBodyBytes {
 		c.pending = b
@@ -133,7 +140,8 @@
 			written <- err
 		}()
 	}
-	resp, reuse, err = c.readMatching(o, l)
+	resp, reuse, err = c.readMatching(o, l, server)
+	resp.Use = c.use
 	if c.firstExchange && errors.Is(err, syscall.ECONNRESET) && time.Since(c.sentAt) < earlyResetWindow {
 		err = errors.Wrap(ErrRefused, err.Error())
 	}
@@ -154,7 +162,7 @@
 // readMatching reads the answer to o. Late answers to other requests before it are skipped, and a
 // connection that carried one is not reused. Neither is one that carried an answer without an ID: a
 // second copy of it could not be told from the answer to the next request.
-func (c *directConn) readMatching(o *Outgoing, l *AnswerLimits) (resp Answer, reuse bool, err error) {
+func (c *directConn) readMatching(o *Outgoing, l *AnswerLimits, server tier.ServerID) (resp Answer, reuse bool, err error) {
 	clean := true
 	for range maxAnswersRead {
 		resp, reuse, err = c.readFinal(o, l)
@@ -163,21 +171,39 @@
 		}
 		switch o.match(&resp) {
 		case matchOwn:
+			if !c.answers.idle() {
+				c.discarded(StrayTrailing, o, server, nil)
+			}
 			return resp, reuse && clean && c.answers.idle(), nil
 		case matchAnonymous:
 			if o.ID != "" && !c.firstExchange {
 				resp.Reservation.Release()
+				c.discarded(StrayUnnamed, o, server, &resp)
 				return Answer{}, false, errors.Wrap(ErrMalformed, "answer without an ID on a connection that had carried another request")
 			}
 			return resp, false, nil
 		case matchOther:
 			resp.Reservation.Release()
+			c.discarded(StrayOther, o, server, &resp)
 			clean = false
 		}
 	}
 	return Answer{}, false, errors.Wrap(ErrMalformed, "received only answers to other requests")
 }
 
+// discarded reports a Stray; a is nil for trailing bytes.
+func (c *directConn) discarded(kind StrayKind, o *Outgoing, server tier.ServerID, a *Answer) {
+	if c.onStray == nil {
+		return
+	}
+	s := Stray{Kind: kind, Server: server, Use: c.use, Request: o.ID}
+	if a != nil {
+		s.Status, s.Answer = a.Status, a.Header.Get(o.Names.RequestID)
+		s.Earlier = s.Answer != "" && c.carried.contains(s.Answer)
+	}
+	c.onStray(s)
+}
+
 // match tells whose answer an answer is.
 type match uint8
 
--- a/internal/conn/outgoing.go
+++ b/internal/conn/outgoing.go
@@ -93,6 +93,8 @@
 	Body   []byte
 	// Reservation is the room that Body takes; whoever drops the answer releases it.
 	Reservation Reservation
+	// Use is the use of the connection that carried the request.
+	Use Use
 }
 
 // Errors returned by Direct.
--- a/internal/edge/catalog.go
+++ b/internal/edge/catalog.go
@@ -22,6 +22,9 @@
 type catalog struct {
 	// onDial is called for each new connection.
 	onDial func()
+	// onStray and onRepeat are called for discarded answers and for repeated IDs.
+	onStray  func(conn.Stray)
+	onRepeat func(conn.Repeat)
 	// limits bounds servers' answers.
 	limits *conn.AnswerLimits
 	// source is the local address of connections; nil lets the system choose it.
@@ -124,10 +127,17 @@
 	if old != nil {
 		closing = append(closing, old.direct)
 	}
-	c.targets.Store(id, &target{rec: r, direct: &conn.Direct{Address: r.Address, Server: id, Born: r.Born, Source: c.source, OnDial: c.onDial, Limits: c.limits}})
+	c.targets.Store(id, &target{rec: r, direct: c.connect(&r)})
 	return closing
 }
 
+// connect returns the connections to a server; none is open yet.
+func (c *catalog) connect(r *spread.Server) *conn.Direct {
+	return &conn.Direct{
+		Address: r.Address, Server: r.ID, Born: r.Born, Source: c.source, OnDial: c.onDial, OnStray: c.onStray, OnRepeat: c.onRepeat, Limits: c.limits,
+	}
+}
+
 // addressOwner returns the server that owns an address: of those that announced it, the one that
 // started last.
 func (c *catalog) addressOwner(address string) (id tier.ServerID) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -106,6 +106,8 @@
 	logged   loggedState
 	// oddLog bounds the log lines about announcements and records that name no server to use.
 	oddLog event.Limit
+	// strayLog bounds the log lines about discarded answers and repeated IDs.
+	strayLog event.Limit
 	// usage is accessed by maintain only.
 	usage usage
 }
@@ -118,7 +120,9 @@
 	n.tableChanged = make(chan struct{}, 1)
 	n.workers = &work.Pool{}
 	n.buildLimits()
-	n.catalog = &catalog{limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }}
+	n.catalog = &catalog{
+		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
+	}
 	if s := n.Settings.Source; s != "" {
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
 	}
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -304,7 +304,7 @@
 // recordReply logs the end of an attempt and keeps the answer if it may be returned to the
 // caller unchanged.
 func (f *forwarding) recordReply(now time.Duration, r *directReply) {
-	f.attempts.ended(now, r.Attempt, r.Reason, r.answer.Status)
+	f.attempts.ended(now, r.Attempt, r.Reason, r.answer.Status, r.answer.Use)
 	delete(f.cancels, r.Attempt)
 	if len(f.route.Gather) == 0 && (r.Result == conn.ResultDone || r.Reason == tier.ReasonServerError) {
 		f.lastAnswer = &r.answer
--- a/internal/reqst/trail.go
+++ b/internal/reqst/trail.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -29,6 +30,7 @@
 	ended  time.Duration
 	reason tier.Reason
 	status int
+	use    conn.Use
 	open   bool
 }
 
@@ -46,10 +48,10 @@
 }
 
 // ended records the end of an attempt; status is 0 if there was no answer.
-func (t *attemptLog) ended(now time.Duration, attempt int, why tier.Reason, status int) {
+func (t *attemptLog) ended(now time.Duration, attempt int, why tier.Reason, status int, use conn.Use) {
 	if attempt < len(t.records) {
 		r := &t.records[attempt]
-		r.ended, r.reason, r.status, r.open = now, why, status, false
+		r.ended, r.reason, r.status, r.use, r.open = now, why, status, use, false
 	}
 }
 
@@ -73,11 +75,19 @@
 			why = "hedge " + why
 		}
 		out = append(out, strconv.Itoa(int(r.shard))+" "+string(r.server)+" +"+strconv.FormatInt((r.sent-t.start).Milliseconds(), 10)+
-			"ms for "+strconv.FormatInt((end-r.sent).Milliseconds(), 10)+"ms "+why)
+			"ms for "+strconv.FormatInt((end-r.sent).Milliseconds(), 10)+"ms "+r.describeUse()+why)
 	}
 	return out
 }
 
+// describeUse describes the connection of an attempt and the request's place on it, if they are known.
+func (r *attemptRecord) describeUse() string {
+	if r.use == (conn.Use{}) {
+		return ""
+	}
+	return "conn=" + strconv.FormatUint(r.use.Conn, 10) + "/" + strconv.Itoa(r.use.Place) + " "
+}
+
 func sampled(id string) bool { return xxhash.Sum64String(id)%sampleOneIn == 0 }
 
 // log records statistics, and writes one line for a request that failed, was late or was
