conn: failing test of a late second answer to a repeated request

Cause: an ID names a request, not an attempt: the second answer to its first sending fits a later one over the same connection. Change: the test sends IDs again over connections that carried them, in four orders, after a failure (a success comes late) and after a run (a refusal comes late).

--- a/internal/conn/copies_test.go
+++ b/internal/conn/copies_test.go
@@ -172,3 +172,40 @@
 	require.True(t, rep.Died)
 	require.Equal(t, 1, deaths)
 }
+
+// TestLateSecondAnswerIsNotTakenForARepeat sends requests once more over the connections that carried them. The server answers
+// each request, and before its next answer to the same ID on a connection it sends a second answer to the earlier one.
+func TestLateSecondAnswerIsNotTakenForARepeat(t *testing.T) {
+	text := func(id string, status int, header string) string {
+		return fmt.Sprintf("HTTP/1.1 %d -\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, directNames.RequestID, id, header)
+	}
+	for _, c := range []struct {
+		name          string
+		answer, stray int
+		strayHeader   string
+	}{
+		{"a success after a failure", http.StatusInternalServerError, http.StatusOK, ""},
+		{"a refusal after a run", http.StatusOK, http.StatusServiceUnavailable, directNames.NotRun + ": 1\r\n"},
+	} {
+		for _, order := range [][]string{{"a", "a"}, {"a", "a", "a"}, {"a", "b", "a"}, {"a", "b", "c", "b", "a"}} {
+			d := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				answered := map[string]bool{}
+				for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+					id := req.Header.Get(directNames.RequestID)
+					out := text(id, c.answer, "")
+					if answered[id] {
+						out = text(id, c.stray, c.strayHeader) + out
+					}
+					answered[id] = true
+					_, _ = io.WriteString(conn, out)
+				}
+			})
+			for i, id := range order {
+				a, err := do(t, d, outgoing(id))
+				require.NoError(t, err, "%s: request %d of %v", c.name, i, order)
+				require.Equal(t, c.answer, a.Status, "%s: request %d of %v", c.name, i, order)
+				require.Empty(t, a.Header.Get(directNames.NotRun), "%s: request %d of %v", c.name, i, order)
+			}
+		}
+	}
+}
