conn: no connection to a server carries an ID twice

Seen: a request that is sent once more over a connection that carried it is given the second answer to its first sending: a success where the server failed, or 'not run' where it ran. Cause: answers are assigned by their ID. It is the caller's, so all sendings of a request share it: a repeat at the same server after a refusal, a caller's repeat under the same ID. Change: a connection keeps hashes of the IDs that it carried. Why it works: on each connection an ID stands for one sending, and an answer to any other sending cannot arrive on it.

--- a/internal/conn/copies_test.go
+++ b/internal/conn/copies_test.go
@@ -97,7 +97,7 @@
 		_, err := do(t, d, outgoing("first"))
 		require.NoError(t, err, c.name)
 		// The connection is taken as checked, then the bytes arrive, then the request is written.
-		dc, err := d.get(context.Background(), true)
+		dc, err := d.get(context.Background(), "second", true)
 		require.NoError(t, err, c.name)
 		close(sent)
 		<-strayed
--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -75,16 +75,40 @@
 	d.idle.closeExpired(func(c *directConn) bool { return now.After(c.idleUntil) })
 }
 
-// get returns an idle connection or dials a new one. With verify, it has checked that the server
-// has not closed or reset the connection.
-func (d *Direct) get(ctx context.Context, verify bool) (*directConn, error) {
-	for c, ok := d.idle.pop(); ok; c, ok = d.idle.pop() {
-		if time.Now().Before(c.idleUntil) && (!verify || isReusable(c.conn)) {
-			return c, nil
+// get returns an idle connection that has not carried the ID, or dials a new one. With verify, it has
+// checked that the server has not closed or reset the connection.
+func (d *Direct) get(ctx context.Context, id string, verify bool) (*directConn, error) {
+	c := d.takeIdle(id, verify)
+	if c != nil {
+		return c, nil
+	}
+	return d.dial(ctx, verify)
+}
+
+// takeIdle returns an idle connection that has not carried the ID, or nil. An ID names a request, not one
+// sending of it: a late second answer to an earlier sending would pass for the answer to the next one.
+func (d *Direct) takeIdle(id string, verify bool) *directConn {
+	hash := hashID(id)
+	var repeated *directConn
+	fresh := func(c *directConn) bool {
+		if id == "" || !c.carried.contains(hash) {
+			return true
 		}
+		repeated = c
+		return false
+	}
+	c, ok := d.idle.pop(fresh)
+	for ok && (time.Now().After(c.idleUntil) || (verify && !isReusable(c.conn))) {
 		_ = c.conn.Close()
+		c, ok = d.idle.pop(fresh)
 	}
-	return d.dial(ctx, verify)
+	if repeated != nil && d.OnRepeat != nil {
+		d.OnRepeat(Repeat{Server: d.Server, Conn: repeated.use.Conn, Request: id})
+	}
+	if !ok {
+		return nil
+	}
+	return c
 }
 
 // dial opens a connection. With verify, it has checked that the server leaves it open.
@@ -158,18 +182,16 @@
 // Do sends a request and reads the whole answer. verify is for a request that must not run twice,
 // or that a server has just refused: it is sent only on a connection that was checked to be open.
 // The connection is closed when ctx ends, which cancels the request at the server. After an error
-// other than ErrNotSent or ErrRefused, the request may have run.
+// other than ErrNotSent or ErrRefused, the request may have run. No connection carries an ID twice; one
+// that has carried as many as it can tell apart is closed.
 func (d *Direct) Do(ctx context.Context, o *Outgoing, remaining time.Duration, verify bool) (Answer, error) {
-	c, err := d.get(ctx, verify)
+	c, err := d.get(ctx, o.ID, verify)
 	if err != nil {
 		return Answer{}, err
 	}
-	if d.OnRepeat != nil && o.ID != "" && c.carried.contains(o.ID) {
-		d.OnRepeat(Repeat{Server: d.Server, Conn: c.use.Conn, Request: o.ID})
-	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	resp, reuse, err := c.exchange(o, d.limits(), d.Server, remaining)
-	if stop() && err == nil && reuse {
+	if stop() && err == nil && reuse && !c.carried.full() {
 		d.idle.push(c)
 		return resp, nil
 	}
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -129,7 +129,7 @@
 	b = append(b, "\r\n"...)
 	b = append(b, o.Body...)
 	c.use.Place++
-	defer c.carried.add(o.ID)
+	defer c.carried.add(hashID(o.ID))
 	written := make(chan error, 1)
 	if len(o.Body) < longBodyBytes {
 		c.pending = b
@@ -199,7 +199,7 @@
 	s := Stray{Kind: kind, Server: server, Use: c.use, Request: o.ID}
 	if a != nil {
 		s.Status, s.Answer = a.Status, a.Header.Get(o.Names.RequestID)
-		s.Earlier = s.Answer != "" && c.carried.contains(s.Answer)
+		s.Earlier = s.Answer != "" && c.carried.contains(hashID(s.Answer))
 	}
 	c.onStray(s)
 }
--- a/internal/conn/idle.go
+++ b/internal/conn/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 )
 
@@ -13,16 +14,19 @@
 	closed bool
 }
 
-// pop returns the most recently used connection; ok is false if there is none.
-func (s *idleStack[T]) pop() (c T, ok bool) {
+// pop returns the most recently used connection for which fits returns true; ok is false if there is
+// none. A nil fits accepts each connection.
+func (s *idleStack[T]) pop(fits func(T) bool) (c T, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.list) == 0 {
-		return c, false
+	for i := len(s.list) - 1; i >= 0; i-- {
+		if fits == nil || fits(s.list[i]) {
+			c = s.list[i]
+			s.list = slices.Delete(s.list, i, i+1)
+			return c, true
+		}
 	}
-	c = s.list[len(s.list)-1]
-	s.list = s.list[:len(s.list)-1]
-	return c, true
+	return c, false
 }
 
 // push adds a connection, or closes it after closeAll(true).
--- a/internal/conn/stray.go
+++ b/internal/conn/stray.go
@@ -37,7 +37,7 @@
 	Status int
 }
 
-// Repeat is a request whose ID the chosen idle connection to a server has carried before.
+// Repeat is a request that an idle connection to a server cannot carry, since it has carried one with the same ID.
 type Repeat struct {
 	Server  tier.ServerID
 	Conn    uint64
--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -48,7 +48,7 @@
 
 // get returns an idle connection that the server has not closed, or a new one.
 func (l *transport) get(ctx context.Context) (*persistConn, error) {
-	for c, ok := l.idle.pop(); ok; c, ok = l.idle.pop() {
+	for c, ok := l.idle.pop(nil); ok; c, ok = l.idle.pop(nil) {
 		if time.Since(c.idleSince) < MaxConnIdle && c.answers.idle() && isReusable(c.conn) {
 			return c, nil
 		}
