conn: an answer that breaks off is not completed by the next one

By reading also a success with the status of the first answer and all else of the second, a failure. Cause: an answer ends at its stated length, whatever fills it: the rest of a cut body, header value or reason phrase was taken from the answer that followed on the connection. Change: a head that holds a status line is malformed. So is a body in which another answer begins: a status line, and the header with the ID after it, in the body or in what follows on the connection. A document that quotes an answer lacks that header. What was discarded is logged and counted as kind spliced. Evidence: TestCutAnswerIsNotCompletedByTheNextOne cuts answers after each byte; it failed before at 'Id: id, X-Signature:', and fails without the check of heads, of bodies, and of what follows. Remains: a cut so near the end that the second answer's ID has not arrived when the length is reached.

--- a/internal/conn/answer.go
+++ b/internal/conn/answer.go
@@ -51,6 +51,7 @@
 	errHeadTooLong  = errors.New("head is too long")
 	errInterim      = errors.New("too many interim answers")
 	errChunkTooLong = errors.New("chunks have more overhead than content")
+	errSpliced      = errors.New("another answer begins within the answer")
 )
 
 // meter counts the bytes read from a connection and ends reading with an error after left of them.
@@ -92,6 +93,12 @@
 // idle reports whether nothing has been read beyond the last answer.
 func (a *answerReader) idle() bool { return a.r.Buffered() == 0 }
 
+// buffered returns what has been read beyond the last answer. It is valid until the next read.
+func (a *answerReader) buffered() []byte {
+	b, _ := a.r.Peek(a.r.Buffered())
+	return b
+}
+
 // next reads one final answer, skipping interim answers. maxBody lowers the limit of the body if it is
 // positive. With an error, the status is set if the head was complete.
 func (a *answerReader) next(req *http.Request, l *AnswerLimits, maxBody int64) (answer, error) {
@@ -100,6 +107,9 @@
 	if err != nil {
 		return answer{}, asMalformed(err)
 	}
+	if headSpliced(resp) {
+		return answer{}, asMalformed(errSpliced)
+	}
 	limit := l.BodyBytes
 	if maxBody > 0 {
 		limit = min(limit, maxBody)
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -171,6 +171,11 @@
 		}
 		switch o.match(&resp) {
 		case matchOwn:
+			if mayHoldAnswer(resp.Body) && bodySpliced(resp.Body, c.following(), o.Names.RequestID) {
+				resp.Reservation.Release()
+				c.discarded(StraySpliced, o, server, &resp)
+				return Answer{}, false, errors.Wrap(ErrMalformed, errSpliced.Error())
+			}
 			if !c.answers.idle() {
 				c.discarded(StrayTrailing, o, server, nil)
 			}
--- a/internal/conn/stray.go
+++ b/internal/conn/stray.go
@@ -11,6 +11,8 @@
 	StrayOther StrayKind = "other"
 	// StrayUnnamed is an answer without an ID that may belong to another request.
 	StrayUnnamed StrayKind = "unnamed"
+	// StraySpliced is an answer that was cut and goes on with another one.
+	StraySpliced StrayKind = "spliced"
 	// StrayTrailing is bytes that follow the answer to the request.
 	StrayTrailing StrayKind = "trailing"
 )
