reqst: a lost shard beside dropped ones makes a query stale

Change: shards whose connection or owner was lost don't stand against it, unless servers died. Evidence: TestLostShardBesideDroppedOnesIsStale failed before (version, version, lost).

--- a/internal/reqst/stale.go
+++ b/internal/reqst/stale.go
@@ -7,8 +7,9 @@
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
-// Stale reports whether the answer is incomplete only because servers no longer hold the
-// shards of the pinned snapshot.
+// Stale reports whether the answer is incomplete because servers no longer hold the shards of
+// the pinned snapshot, and a newer one may serve all. That holds beside shards whose connection
+// or owner was lost, unless servers died.
 func (p *Plan) Stale() bool {
 	stale := false
 	for i := range p.parts {
@@ -16,12 +17,15 @@
 		if pt.done {
 			continue
 		}
-		if pt.reason != tier.ReasonVersion && pt.reason != tier.ReasonDraining {
+		switch pt.reason {
+		case tier.ReasonVersion, tier.ReasonDraining:
+			stale = true
+		case tier.ReasonLost, tier.ReasonNoOwner:
+		default:
 			return false
 		}
-		stale = true
 	}
-	return stale
+	return stale && p.deaths == 0
 }
 
 // LayoutStatus compares a later layout of the service with a plan, for the shards that the
--- a/internal/reqst/stale_test.go
+++ b/internal/reqst/stale_test.go
@@ -37,6 +37,41 @@
 	return p
 }
 
+// TestLostShardBesideDroppedOnesIsStale ends a plan of three shards for different reasons, as after a freeze during which the
+// servers dropped the pinned snapshot.
+func TestLostShardBesideDroppedOnesIsStale(t *testing.T) {
+	for _, c := range []struct {
+		reasons [3]tier.Reason
+		died    bool
+		want    bool
+	}{
+		{reasons: [3]tier.Reason{tier.ReasonVersion, tier.ReasonVersion, tier.ReasonVersion}, want: true},
+		{reasons: [3]tier.Reason{tier.ReasonVersion, tier.ReasonVersion, tier.ReasonLost}, want: true},
+		{reasons: [3]tier.Reason{tier.ReasonNone, tier.ReasonNoOwner, tier.ReasonVersion}, want: true},
+		{reasons: [3]tier.Reason{tier.ReasonNone, tier.ReasonLost, tier.ReasonNoOwner}, want: false},
+		{reasons: [3]tier.Reason{tier.ReasonVersion, tier.ReasonServerError, tier.ReasonVersion}, want: false},
+		{reasons: [3]tier.Reason{tier.ReasonVersion, tier.ReasonLost, tier.ReasonVersion}, died: true, want: false},
+		{reasons: [3]tier.Reason{}, want: false},
+	} {
+		p := &Plan{
+			Layout:  layoutOf([][]tier.ServerID{{"a"}, {"b"}, {"c"}}),
+			Options: PlanOptions{Deadline: time.Second, Timeout: time.Second},
+			Hedge:   func(time.Duration, int, time.Duration) bool { return false },
+			Retry:   func(int) bool { return false },
+			Select:  func(_ time.Duration, _ tier.Shard, list []tier.Candidate) int { return len(list) - 1 },
+		}
+		for _, a := range p.Start(0) {
+			r := conn.Reply{Attempt: a.Attempt, Shard: a.Shard, Server: a.Server, Result: conn.ResultFailed, Reason: c.reasons[a.Shard]}
+			if r.Reason == tier.ReasonNone {
+				r.Result, r.Snapshot = conn.ResultDone, p.Layout.Snapshot
+			}
+			r.Died = c.died && r.Reason == tier.ReasonLost
+			p.Reply(0, r)
+		}
+		require.Equal(t, c.want, p.Stale(), "%v", c)
+	}
+}
+
 func TestStalePlanComparedWithCurrentLayout(t *testing.T) {
 	newer := layoutOf([][]tier.ServerID{{"a"}})
 	newer.Snapshot.Version = 2
