reqst: attempts at silent servers count when a request is passed on

Change: own attempts count unless connections to the server broke or cannot be opened. TestServerIsSilentSinceItsLastAnswer tested the question that is no longer asked; TestServerIsBrokenAfterFailuresOnly has the same rows and two more for the new one. TestWaitingRequestIsDiverted took for right that a request is passed on with none left: its first row now has attempts left and a host that keeps to them, and two rows ask the contrary. 'attempts used up at silent servers' failed before.

--- a/internal/proc/reach/reach.go
+++ b/internal/proc/reach/reach.go
@@ -35,9 +35,6 @@
 	silentAt   time.Duration
 	failures   int
 	triedAt    time.Duration
-	// answered is set once the server has answered, at answeredAt for the last time.
-	answered   bool
-	answeredAt time.Duration
 }
 
 // lost reports whether the server seems to be out of reach.
@@ -87,7 +84,7 @@
 // Answered records that a server answered, whatever the answer was, or accepted a connection after all.
 func (b *Board) Answered(now time.Duration, id tier.ServerID) {
 	s := b.find(id)
-	*s = server{triedAt: max(s.triedAt, now), answered: true, answeredAt: now}
+	*s = server{triedAt: max(s.triedAt, now)}
 }
 
 // Failed records that no connection could be established, or that one broke.
@@ -103,10 +100,10 @@
 	return s != nil && s.lost(now)
 }
 
-// SilentSince reports whether a server has answered nothing since the time at, or seems to be out of reach.
-func (b *Board) SilentSince(now time.Duration, id tier.ServerID, at time.Duration) bool {
+// Broken reports whether no connection to a server could be established lately, or all broke.
+func (b *Board) Broken(id tier.ServerID) bool {
 	s := b.servers[id]
-	return s == nil || s.lost(now) || !s.answered || s.answeredAt < at
+	return s != nil && s.failures >= minFailures
 }
 
 // Counts returns how many servers have been tried lately, and how many of them are lost. While the host is cut off, lost
--- a/internal/proc/reach/reach_test.go
+++ b/internal/proc/reach/reach_test.go
@@ -132,23 +132,26 @@
 	require.False(t, cut)
 }
 
-// TestServerIsSilentSinceItsLastAnswer lists what a server did before and after it was sent a request at 10 s.
-func TestServerIsSilentSinceItsLastAnswer(t *testing.T) {
+// TestServerIsBrokenAfterFailuresOnly lists what a server did before and after it was sent a request at 10 s. A server that is
+// silent may run the request yet; one whose connections fail does not.
+func TestServerIsBrokenAfterFailuresOnly(t *testing.T) {
 	const at = 10 * time.Second
 	for _, c := range []struct {
 		name   string
 		events func(b *Board)
-		silent bool
+		broken bool
 	}{
-		{"never tried", func(*Board) {}, true},
-		{"sent, no answer", func(b *Board) { b.Sent(at, "s", time.Millisecond) }, true},
-		{"answered before", func(b *Board) { b.Answered(at-1, "s"); b.Sent(at, "s", time.Millisecond) }, true},
-		{"answered another request since", func(b *Board) { b.Sent(at, "s", time.Millisecond); b.Answered(at+time.Millisecond, "s") }, false},
-		{"answered, then failed", func(b *Board) { b.Answered(at+time.Millisecond, "s"); b.Failed(at+2, "s"); b.Failed(at+2, "s") }, true},
+		{"never tried", func(*Board) {}, false},
+		{"sent, no answer", func(b *Board) { b.Sent(at, "s", time.Millisecond) }, false},
+		{"two sent, no answer", func(b *Board) { b.Sent(at, "s", time.Millisecond); b.Sent(at, "s", time.Millisecond) }, false},
+		{"answered before", func(b *Board) { b.Answered(at-1, "s"); b.Sent(at, "s", time.Millisecond) }, false},
+		{"failed once", func(b *Board) { b.Sent(at, "s", time.Millisecond); b.Failed(at+1, "s") }, false},
+		{"failed twice", func(b *Board) { b.Sent(at, "s", time.Millisecond); b.Failed(at+1, "s"); b.Failed(at+2, "s") }, true},
+		{"failed twice, then answered", func(b *Board) { b.Failed(at+1, "s"); b.Failed(at+2, "s"); b.Answered(at+3, "s") }, false},
 	} {
 		var b Board
 		b.Start()
 		c.events(&b)
-		require.Equal(t, c.silent, b.SilentSince(at+time.Second, "s", at), c.name)
+		require.Equal(t, c.broken, b.Broken("s"), c.name)
 	}
 }
--- a/internal/reqst/reach.go
+++ b/internal/reqst/reach.go
@@ -86,14 +86,13 @@
 	return true
 }
 
-// account returns the account of a request that this node gives up because it is cut off. Servers that have not answered
-// anything since they got the request are cut off too: they do not count, as they would not if they had failed.
+// account returns the account of a request that this node gives up because it is cut off. Servers count as attempts unless their
+// connections broke: those that are only silent may be overloaded and run the request yet.
 func (f *forwarding) account() account {
 	d := f.forwarder
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	used := f.plan.Used(func(id tier.ServerID, sent time.Duration) bool { return d.reach.SilentSince(now, id, sent) })
+	used := f.plan.Used(func(id tier.ServerID, _ time.Duration) bool { return d.reach.Broken(id) })
 	return account{limit: f.route.MaxAttempts(), used: used, ran: f.plan.Ran(), counted: true}
 }
 
--- a/internal/reqst/relay_test.go
+++ b/internal/reqst/relay_test.go
@@ -203,22 +203,28 @@
 	require.False(t, d.UpdateReach())
 }
 
-// TestWaitingRequestIsDiverted: a host is cut off while a request waits for its servers. An idempotent one goes on through
-// another host, if the budget allows it; one that must not run twice waits for its servers.
+// TestWaitingRequestIsDiverted: a host takes itself for cut off while a request waits for its servers. An idempotent one goes on
+// through another host, if the budget allows it and attempts are left for a host that keeps to them: the servers may only be
+// overloaded. One that must not run twice waits for its servers.
 func TestWaitingRequestIsDiverted(t *testing.T) {
 	for _, c := range []struct {
 		name       string
 		idempotent bool
+		attempts   int
+		keeps      bool
 		budget     float64
 		status     int
 	}{
-		{"idempotent", true, 60, http.StatusOK},
-		{"no budget", true, 0, http.StatusGatewayTimeout},
-		{"must not run twice", false, 60, http.StatusGatewayTimeout},
+		{"idempotent", true, 3, true, 60, http.StatusOK},
+		{"attempts used up at silent servers", true, 1, true, 60, http.StatusGatewayTimeout},
+		{"the other host may use more than is left", true, 3, false, 60, http.StatusGatewayTimeout},
+		{"no budget", true, 3, true, 0, http.StatusGatewayTimeout},
+		{"must not run twice", false, 3, true, 60, http.StatusGatewayTimeout},
 	} {
 		d := benchForwarder(t, 4)
 		d.Budget.Ratio, d.Budget.Fixed = 0, c.budget
-		d.Routes().Routes[0].Idempotent = c.idempotent
+		d.Routes().Routes[0].Idempotent, d.Routes().Routes[0].Attempts = c.idempotent, c.attempts
+		d.relays.keepsLeases = map[tier.NodeID]bool{"a": c.keeps}
 		dir := d.Directory.(*staticDirectory)
 		for id := range dir.direct {
 			dir.direct[id] = &conn.Direct{Address: silentServer(t), Server: id}
