conn: each sending to a server gets an ID of its own

Cause: serve nodes sent X-Request-Id with the request's bare ID each time, for every shard and after every new plan. A server that stutters sends its answer to one sending again over the connection that carries the next one, and that answer named the same ID: a late 503 with X-Not-Run or a late 409 was believed, and the caller was told "not run" of a search that ran (or a shard was missing for its version); a late 500 was taken for a failure. A success was checked by shard and version already, a write's only by the ID. The engine sends one write to one server once today, so a write met this only through a new way of repeating it; the check was as weak there. Change: Owner names each sending REQUEST-ID.N, N counted from its start; the answer must name the sending. Nothing reads the bare ID at a server (stand, soak, load, system tests echo it or have their own). Ruled out: taking the next answer after a late one, as edge connections do; not needed for this.

--- a/internal/conn/owner.go
+++ b/internal/conn/owner.go
@@ -1,7 +1,9 @@
 package conn
 
 import (
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -49,6 +51,13 @@
 	mu       sync.Mutex
 	pools    map[tier.ServerID]*Pool
 	released []*Pool
+	sendings atomic.Uint64
+}
+
+// sendingID returns the ID under which a server sees one sending of a request. Each sending has its own, since a server may send a
+// second answer to one sending over the connection that carries the next one.
+func (o *Owner) sendingID(id tier.RequestID) string {
+	return string(id) + "." + strconv.FormatUint(o.sendings.Add(1), 10)
 }
 
 // Update replaces the set of servers that this node owns. cold reports whether a server instance is
--- a/internal/conn/search.go
+++ b/internal/conn/search.go
@@ -56,7 +56,7 @@
 	rctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	h := http.Header{
-		tier.HeaderRequestID: {string(b.Request)},
+		tier.HeaderRequestID: {o.sendingID(b.Request)},
 		tier.HeaderVersion:   {strconv.FormatUint(uint64(b.Snapshot.Version), 10)},
 		tier.HeaderShard:     {strconv.Itoa(int(s.Shard)) + "/" + strconv.Itoa(int(b.Snapshot.Shards))},
 		tier.HeaderDeadline:  {deadlineHeader(remaining)},
@@ -84,7 +84,7 @@
 	same := func(key string) bool { return a.header.Get(key) == sent.Get(key) }
 	switch {
 	case !same(tier.HeaderRequestID):
-		// A late answer to another request says nothing about this one, not even that it did not run.
+		// A late answer to another sending says nothing about this one, not even that it did not run.
 		rep.fail(tier.ReasonTruncated)
 		return
 	case a.status == http.StatusConflict:
--- a/internal/conn/write.go
+++ b/internal/conn/write.go
@@ -36,7 +36,7 @@
 	wctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining)
 	defer cancel()
 	h := http.Header{
-		tier.HeaderRequestID: {string(w.Request)},
+		tier.HeaderRequestID: {o.sendingID(w.Request)},
 		tier.HeaderClaim:     {string(w.Claim)},
 		tier.HeaderDeadline:  {deadlineHeader(remaining)},
 		"Content-Type":       {"application/json"},
@@ -45,7 +45,7 @@
 	switch {
 	case err == nil:
 		p.release(t, a.status == http.StatusOK)
-		applyWriteAnswer(w, a, rep)
+		applyWriteAnswer(h, a, rep)
 		a.reservation.Release()
 	case neverReached(err):
 		p.release(t, false)
@@ -67,11 +67,12 @@
 	}
 }
 
-// applyWriteAnswer checks a write's answer and stores the result in rep. A write counts as not run
-// only if the server says so, or if nothing listens at its address.
-func applyWriteAnswer(w *Write, a answer, rep *Reply) {
+// applyWriteAnswer checks that an answer belongs to the write with the header sent, and stores the
+// result in rep. A write counts as not run only if the server says so, or if nothing listens at its
+// address.
+func applyWriteAnswer(sent http.Header, a answer, rep *Reply) {
 	switch {
-	case a.header.Get(tier.HeaderRequestID) != string(w.Request):
+	case a.header.Get(tier.HeaderRequestID) != sent.Get(tier.HeaderRequestID):
 		rep.fail(tier.ReasonTruncated)
 	case a.header.Get(tier.HeaderNotRun) != "":
 		rep.Result, rep.Reason = ResultNotRun, tier.ReasonShed
