client: an answer holds nothing of an earlier entry's response

Cause: Query, Write and Ops decode each response into the same value. Of a response that can be read only in part (a field of another type, as of another build or a faulty proxy) encoding/json keeps what came before the fault, and the next entry's response went on top: fields that it leaves out, such as reason, shards and missing, were the first one's. Change: a response is decoded into a value of its own, which replaces the caller's only if all of it can be read.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"reflect"
 	"sync"
 	"time"
 
@@ -100,7 +101,22 @@
 		*raw = b
 		return nil
 	}
-	return tier.At("decode response of "+path, entry, json.Unmarshal(b, out))
+	return tier.At("decode response of "+path, entry, decode(b, out))
+}
+
+// decode replaces the value to which out points. It leaves that value unchanged on an error, as json.Unmarshal does not: the next
+// entry's response would be decoded on top of a part of this one.
+func decode(b []byte, out any) error {
+	v := reflect.ValueOf(out)
+	if v.Kind() != reflect.Pointer || v.IsNil() {
+		return &json.InvalidUnmarshalError{Type: reflect.TypeOf(out)}
+	}
+	fresh := reflect.New(v.Type().Elem())
+	if err := json.Unmarshal(b, fresh.Interface()); err != nil {
+		return err
+	}
+	v.Elem().Set(fresh.Elem())
+	return nil
 }
 
 // httpClient returns the client that sends the requests.
