conn, node: serve nodes count stray answers too

Cause: what a server sent in place of the answer that a sending waits for, or behind it, left no trace on serve nodes but "answer rejected" for searches. Result: TestOwnersReportDiscardedAnswers. TestLateSecondAnswerInATLSRecordIsNotBelieved pins that the ID alone holds where neither the socket nor the buffer shows the bytes: with the bare ID as before it fails: the refusal is believed.

--- a/internal/conn/owner.go
+++ b/internal/conn/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,8 @@
 	OnSilent func(tier.ServerID, tier.RequestID)
 	// OnRejected is called when a server's answer is rejected.
 	OnRejected func(tier.ServerID, tier.RequestID, tier.Reason)
+	// OnStray, if not nil, is called for each Stray.
+	OnStray func(Stray)
 
 	mu       sync.Mutex
 	pools    map[tier.ServerID]*Pool
@@ -60,6 +63,11 @@
 	return string(id) + "." + strconv.FormatUint(o.sendings.Add(1), 10)
 }
 
+// requestOf returns the ID of the request of a sending.
+func requestOf(sendingID string) tier.RequestID {
+	return tier.RequestID(sendingID[:max(0, strings.LastIndexByte(sendingID, '.'))])
+}
+
 // Update replaces the set of servers that this node owns. cold reports whether a server instance is
 // new in the fleet.
 func (o *Owner) Update(owned map[tier.ServerID]tier.Announcement, cold func(tier.Announcement) bool) {
@@ -90,6 +98,7 @@
 func (o *Owner) add(s tier.Announcement, cold bool, now time.Duration) *Pool {
 	r := o.Settings(s.Service, s.Server)
 	p := newPool(s, o.Clock, r.MaxQueue, o.Certs, o.Limits)
+	p.transport.server, p.transport.onStray = s.Server, o.OnStray
 	if cold && r.SlowStart > 0 {
 		p.startColdRamp(now, r.SlowStart)
 	}
--- a/internal/conn/sending_test.go
+++ b/internal/conn/sending_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -24,7 +25,7 @@
 }
 
 // ownerOf returns the owner of one scripted server, "s1".
-func ownerOf(t *testing.T, serve func(net.Conn)) *Owner {
+func ownerOf(t *testing.T, serve func(net.Conn), onStray func(Stray)) *Owner {
 	t.Helper()
 	address := rawServer(t, serve).base.Host
 	o := &Owner{
@@ -35,6 +36,7 @@
 		OnDeath:    func(Death) {},
 		OnSilent:   func(tier.ServerID, tier.RequestID) {},
 		OnRejected: func(tier.ServerID, tier.RequestID, tier.Reason) {},
+		OnStray:    onStray,
 	}
 	update := func(owned map[tier.ServerID]tier.Announcement) {
 		o.Update(owned, func(tier.Announcement) bool { return false })
@@ -86,7 +88,7 @@
 						}
 						_, _ = io.WriteString(conn, answer+soundAnswer(req))
 					}
-				})
+				}, nil)
 				require.NotEqual(t, ResultDone, kind.send(o, 0).Result)
 				second := kind.send(o, 1)
 				require.Equal(t, []int{1, 2}, []int{<-places, <-places}, "both came over one connection")
@@ -108,7 +110,7 @@
 				headers <- req.Header
 				_, _ = io.WriteString(conn, soundAnswer(req))
 			}
-		})
+		}, nil)
 		seen := map[string]bool{}
 		for n := range 3 {
 			require.Equal(t, ResultDone, kind.send(o, n%2).Result, kind.name)
@@ -124,3 +126,98 @@
 		}
 	}
 }
+
+// TestOwnersReportDiscardedAnswers has a server send, in place of the answer to the second sending or behind it, what does not
+// answer it.
+func TestOwnersReportDiscardedAnswers(t *testing.T) {
+	named := func(id string) string {
+		return "HTTP/1.1 500 Failed\r\n" + tier.HeaderRequestID + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, c := range []struct {
+		name           string
+		before, behind string
+		want           Stray
+	}{
+		{"second answer to the first sending", named("id.1"), "", Stray{Kind: StrayOther, Answer: "id.1", Earlier: true, Status: 500}},
+		{"answer to a sending on another connection", named("id.9"), "", Stray{Kind: StrayOther, Answer: "id.9", Status: 500}},
+		{"answer without an ID", anonymousRefusal + "\r\n", "", Stray{Kind: StrayUnnamed, Status: 503}},
+		{"bytes behind the answer", "", "HTTP/1.1 200", Stray{Kind: StrayTrailing}},
+	} {
+		for _, kind := range ownerSends {
+			var got []Stray
+			o := ownerOf(t, func(conn net.Conn) {
+				r := bufio.NewReader(conn)
+				for n := 1; ; n++ {
+					req := readRequest(t, r)
+					if req == nil {
+						return
+					}
+					text := soundAnswer(req)
+					if n == 2 {
+						text = c.before + text + c.behind
+					}
+					_, _ = io.WriteString(conn, text)
+				}
+			}, func(s Stray) { got = append(got, s) })
+			require.Equal(t, ResultDone, kind.send(o, 0).Result, "%s, %s", kind.name, c.name)
+			require.Empty(t, got, "%s, %s", kind.name, c.name)
+			kind.send(o, 1)
+			want := c.want
+			want.Server, want.Use, want.Request = "s1", Use{Conn: 1, Place: 2}, "id"
+			require.Equal(t, []Stray{want}, got, "%s, %s", kind.name, c.name)
+			kind.send(o, 0)
+			require.Len(t, got, 1, "%s, %s: the connection was closed", kind.name, c.name)
+		}
+	}
+}
+
+// TestLateSecondAnswerInATLSRecordIsNotBelieved has a server send a refusal to another sending in the TLS record that ends its answer,
+// where neither the socket nor the buffer of the connection shows it.
+func TestLateSecondAnswerInATLSRecordIsNotBelieved(t *testing.T) {
+	certs := &Certs{EphemeralName: "s1"}
+	pair, _, err := certs.current()
+	require.NoError(t, err)
+	conf := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*pair}, NextProtos: []string{serverProtocol}, DynamicRecordSizingDisabled: true}
+	address := rawServer(t, func(c net.Conn) {
+		conn := tls.Server(c, conf)
+		defer func() { _ = conn.Close() }()
+		r := bufio.NewReader(conn)
+		for n := 1; ; n++ {
+			req := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			text := soundAnswer(req)
+			if n == 1 {
+				id := req.Header.Get(tier.HeaderRequestID)
+				// The answer fills the buffer three times and leaves the refusal to the TLS connection.
+				text = strings.Replace(text, "Content-Length: 1\r\n\r\n1", "Content-Length: 00000\r\n\r\n", 1)
+				fill := strings.Repeat("1", 3*connBufferBytes-len(text))
+				text = strings.Replace(text, "00000", fmt.Sprintf("%05d", len(fill)), 1) + fill +
+					fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", tier.HeaderRequestID, id, tier.HeaderNotRun)
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+	}).base.Host
+	for _, kind := range ownerSends {
+		var got []Stray
+		o := &Owner{
+			Clock: tier.NewClock(), MaySend: func(tier.ServerID) bool { return true }, Limits: DefaultAnswerLimits(), Certs: certs,
+			Settings: func(tier.Service, tier.ServerID) Settings {
+				return Settings{MaxQueue: 1, SilenceTimeout: 10 * time.Second}
+			},
+			OnDeath:    func(Death) {},
+			OnSilent:   func(tier.ServerID, tier.RequestID) {},
+			OnRejected: func(tier.ServerID, tier.RequestID, tier.Reason) {},
+			OnStray:    func(s Stray) { got = append(got, s) },
+		}
+		cold := func(tier.Announcement) bool { return false }
+		o.Update(map[tier.ServerID]tier.Announcement{"s1": {Server: "s1", Instance: 1, Address: address, Slots: 1, Conns: 1}}, cold)
+		first := kind.send(o, 0)
+		require.Equal(t, ResultDone, first.Result, "%s: %s", kind.name, first.Reason)
+		second := kind.send(o, 1)
+		require.NotEqual(t, ResultNotRun, second.Result, kind.name)
+		require.Len(t, got, 1, kind.name)
+		o.Update(nil, cold)
+	}
+}
--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,9 @@
 	answers   *answerReader
 	w         *bufio.Writer
 	idleSince time.Time
+	// use is the current use; carried holds the IDs of the sendings of all uses.
+	use     Use
+	carried history
 }
 
 func newPersistConn(c net.Conn) *persistConn {
@@ -39,8 +43,12 @@
 	spares *spares
 	base   url.URL
 	limits AnswerLimits
+	server tier.ServerID
+	// onStray, if not nil, is called for each Stray.
+	onStray func(Stray)
 
-	idle idleStack[*persistConn]
+	idle   idleStack[*persistConn]
+	opened atomic.Uint64
 }
 
 // Close closes the connection.
@@ -58,7 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newPersistConn(c), nil
+	pc := newPersistConn(c)
+	pc.use.Conn = l.opened.Add(1)
+	return pc, nil
 }
 
 func (l *transport) put(c *persistConn) {
@@ -89,6 +99,10 @@
 	u.Path = path
 	req := &http.Request{Method: http.MethodPost, URL: &u, Host: u.Host, Header: h, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
 	a, reuse, err := c.exchange(req, &l.limits)
+	if err == nil {
+		l.reportStray(c, req, &a)
+	}
+	c.carried.add(hashID(h.Get(tier.HeaderRequestID)))
 	if !stop() {
 		return a, ctxError(ctx, err)
 	}
@@ -100,6 +114,22 @@
 	return a, err
 }
 
+// reportStray reports an answer that belongs to another sending, or bytes that follow the own one.
+func (l *transport) reportStray(c *persistConn, req *http.Request, a *answer) {
+	sent, got := req.Header.Get(tier.HeaderRequestID), a.header.Get(tier.HeaderRequestID)
+	if l.onStray == nil || (got == sent && c.answers.idle()) {
+		return
+	}
+	s := Stray{Kind: StrayTrailing, Server: l.server, Use: c.use, Request: string(requestOf(sent))}
+	if got != sent {
+		s.Kind, s.Status, s.Answer, s.Earlier = StrayOther, a.status, got, got != "" && c.carried.contains(hashID(got))
+	}
+	if got == "" {
+		s.Kind = StrayUnnamed
+	}
+	l.onStray(s)
+}
+
 // ctxError returns the context's error if the context ended before the answer arrived, otherwise
 // err. A connection enforces the context's deadline by a timer of its own, which may fire before
 // the context's.
@@ -119,6 +149,7 @@
 // exchange writes a request and reads its answer; reuse means that the connection may carry another
 // request. A connection that carried an answer to another request may not: the own answer may follow.
 func (c *persistConn) exchange(req *http.Request, l *AnswerLimits) (a answer, reuse bool, err error) {
+	c.use.Place++
 	if err := req.Write(c.w); err != nil {
 		return answer{}, false, err
 	}
