conn: failing test of an answer that names two requests

Cause: Outgoing.match looks at the first of several headers with the ID: an answer that names the waiting request and another one is taken for its own. No server is known to send that; a proxy that adds its own header could.

--- a/internal/conn/unnamed_test.go
+++ b/internal/conn/unnamed_test.go
@@ -37,3 +37,15 @@
 		require.NotErrorIs(t, err, ErrNotSent)
 	}
 }
+
+// TestAnswerThatNamesTwoRequestsAnswersNone has a server name the waiting request and an earlier one in one answer.
+func TestAnswerThatNamesTwoRequestsAnswersNone(t *testing.T) {
+	name := directNames.RequestID + ": "
+	for _, ids := range []string{name + "second\r\n" + name + "first\r\n", name + "first\r\n" + name + "second\r\n"} {
+		d := scriptedSecond(t, "HTTP/1.1 200 OK\r\n"+ids+"Content-Length: 4\r\nConnection: close\r\n\r\nold!")
+		_, err := do(t, d, outgoing("first"))
+		require.NoError(t, err)
+		a, err := do(t, d, outgoing("second"))
+		require.Error(t, err, "%d %q", a.Status, a.Body)
+	}
+}
