edge: the answer to HEAD has the server's length

Cause: the node strips the server's Content-Length, as it states that of the body it sends, and the answer to HEAD has no body: callers were told Content-Length: 0 of resources that have content. Change: the answer to HEAD keeps the server's Content-Length, or has none where the server states none; relayed ones too.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -109,7 +109,9 @@
 	if n.stopping.Load() {
 		h.Set("Connection", "close")
 	}
-	h.Set("Content-Length", strconv.Itoa(len(out.Body)))
+	if _, stated := out.Header["Content-Length"]; !stated {
+		h.Set("Content-Length", strconv.Itoa(len(out.Body)))
+	}
 	w.WriteHeader(out.Status)
 	// A write error means that the caller has disconnected; there is nobody to report it to.
 	_, _ = w.Write(out.Body)
--- a/internal/reqst/outbound.go
+++ b/internal/reqst/outbound.go
@@ -34,14 +34,19 @@
 	return Outbound{Status: http.StatusBadGateway, Reason: why, RetryAfter: shortRetryAfter}
 }
 
-// serverAnswer returns the server's own answer without its hop-by-hop headers. A refusal is not passed on for a request
+// serverAnswer returns the server's own answer without its hop-by-hop headers; the answer to HEAD keeps the length of the body that
+// GET would get, if it has one. A refusal is not passed on for a request
 // that may run once only, because the server did not say that it had not run it.
 func (f *forwarding) serverAnswer() Outbound {
 	if !f.route.Idempotent && saysNotRun(f.lastAnswer.Status) {
 		return Outbound{Status: http.StatusBadGateway, Reason: tier.ReasonServerError}
 	}
 	h := f.lastAnswer.Header
+	length := h["Content-Length"]
 	conn.StripHopHeaders(h)
+	if f.in.Method == http.MethodHead {
+		h["Content-Length"] = length
+	}
 	return Outbound{Status: f.lastAnswer.Status, Header: h, Body: f.lastAnswer.Body}
 }
 
