client: Forward sends a request once over kept connections too

Cause: net/http sends a request again over a new connection when a kept one breaks before an answer, if the method is GET, HEAD, OPTIONS or TRACE or a header Idempotency-Key is set, and it has no body or one that it can get again. Forward promises to send once and to leave repeats to its caller: a request on a route that isn't idempotent could run twice, and nodes and servers got the same ID twice. TestForwardNeverResendsSentRequest has a POST on a new connection only. Change: net/http gets a body that it cannot get again (an empty one for requests without).

--- a/pkg/client/forward.go
+++ b/pkg/client/forward.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +34,7 @@
 		if out.Host == "" {
 			out.Host = req.URL.Host
 		}
+		sendOnce(out)
 		resp, err := c.httpClient().Do(out)
 		if err == nil {
 			return resp, nil
@@ -44,6 +47,26 @@
 	}
 }
 
+// sendOnce keeps net/http from sending a request again over a new connection when a kept one breaks: it does so by method and headers,
+// for requests whose body it can get again.
+func sendOnce(req *http.Request) {
+	req.GetBody = nil
+	keyed := req.Header.Get("Idempotency-Key") != "" || req.Header.Get("X-Idempotency-Key") != ""
+	// Other requests without a body and a key are not sent again, and keep their Content-Length of 0.
+	if hasBody := req.Body != nil && req.Body != http.NoBody; hasBody || (!keyed && !isReadMethod(req.Method)) {
+		return
+	}
+	req.Body = io.NopCloser(strings.NewReader(""))
+}
+
+func isReadMethod(m string) bool {
+	switch m {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // RetryAfter returns the delay in the Retry-After header, or 0 without a valid one. Nodes send seconds with a fraction.
 func RetryAfter(h http.Header) time.Duration {
 	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
