client: Forward returns redirections

Cause: net/http follows a redirection, so that the caller got the answer to another request in place of the server's: from another host or path, sent with the same ID, and a POST as a GET. Change: Forward returns the redirection as it is. Result: TestForwardReturnsTheAnswerToItsRequest failed before (expected 301, was 200 with the body of /other), passes for 301, 302, 303, 307 and 308.

--- a/pkg/client/forward.go
+++ b/pkg/client/forward.go
@@ -16,8 +16,8 @@
 
 // Forward sends a request to a node that forwards it to a server by its routing table; the request's Host and path
 // select the route. If no connection to the node can be made, so that nothing has been sent, Forward tries the next
-// node. The caller closes the response body, decides whether a request may be retried and waits for the response's
-// Retry-After (see RetryAfter) before it does.
+// node. A redirection is returned and not followed. The caller closes the response body, decides whether a request may
+// be retried and waits for the response's Retry-After (see RetryAfter) before it does.
 func (c *Client) Forward(ctx context.Context, req *http.Request) (*http.Response, error) {
 	for {
 		entry, err := c.pickEntry(ctx)
@@ -35,7 +35,7 @@
 			out.Host = req.URL.Host
 		}
 		sendOnce(out)
-		resp, err := c.httpClient().Do(out)
+		resp, err := c.withoutRedirects().Do(out)
 		if err == nil {
 			return resp, nil
 		}
@@ -47,6 +47,13 @@
 	}
 }
 
+// withoutRedirects returns the client that sends the requests, which returns redirections as they are.
+func (c *Client) withoutRedirects() *http.Client {
+	h := *c.httpClient()
+	h.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &h
+}
+
 // sendOnce keeps net/http from sending a request again over a new connection when a kept one breaks: it does so by method and headers,
 // for requests whose body it can get again.
 func sendOnce(req *http.Request) {
