client: no encoding of bodies is asked for

Cause: net/http adds "Accept-Encoding: gzip" to requests. Nodes forward it, and take a success with a Content-Encoding for an incomplete answer: with a server that compresses, each request through Forward was a failure. Change: Transport asks for none; a caller may still set the header. Not run against a server that compresses.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -36,10 +36,11 @@
 // defaultHTTP sends the requests of clients without an HTTP client of their own.
 var defaultHTTP = &http.Client{Transport: Transport()}
 
-// Transport returns a transport that bounds the headers of responses.
+// Transport returns a transport that bounds the headers of responses and asks for no encoding of its own: nodes do not
+// return a success with an encoded body, since that is not the server's body.
 func Transport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.MaxResponseHeaderBytes = maxResponseHeaderBytes
+	t.MaxResponseHeaderBytes, t.DisableCompression = maxResponseHeaderBytes, true
 	return t
 }
 
