conn, edge: tests for guards that no test held

Trial on a scratch copy: 30 guards of what pairs bytes with a request were taken out one at a time. Seven made no test fail: bytes behind an answer and an early named answer to a long body (edge connections), bytes in the buffer, shard and version of an answer (connections of owners), server and shard of a reply between nodes, the end of connections to a replaced server.

--- a/internal/conn/sending_test.go
+++ b/internal/conn/sending_test.go
@@ -165,12 +165,38 @@
 			want := c.want
 			want.Server, want.Use, want.Request = "s1", Use{Conn: 1, Place: 2}, "id"
 			require.Equal(t, []Stray{want}, got, "%s, %s", kind.name, c.name)
-			kind.send(o, 0)
+			require.Equal(t, ResultDone, kind.send(o, 0).Result, "%s, %s: on another connection", kind.name, c.name)
 			require.Len(t, got, 1, "%s, %s: the connection was closed", kind.name, c.name)
 		}
 	}
 }
 
+// TestAnswerForAnotherShardOrVersionIsNoPart has a server name the sending, and another shard or version than asked for.
+func TestAnswerForAnotherShardOrVersionIsNoPart(t *testing.T) {
+	for _, c := range []struct {
+		name, header, value string
+		want                tier.Reason
+	}{
+		{"shard", tier.HeaderShard, "1/2", tier.ReasonTruncated},
+		{"number of shards", tier.HeaderShard, "0/3", tier.ReasonTruncated},
+		{"no shard", tier.HeaderShard, "", tier.ReasonTruncated},
+		{"version", tier.HeaderVersion, "6", tier.ReasonVersion},
+		{"no version", tier.HeaderVersion, "", tier.ReasonVersion},
+	} {
+		o := ownerOf(t, func(conn net.Conn) {
+			r := bufio.NewReader(conn)
+			for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+				req.Header.Set(c.header, c.value)
+				_, _ = io.WriteString(conn, soundAnswer(req))
+			}
+		}, nil)
+		rep := ownerSends[0].send(o, 0)
+		require.Equal(t, ResultFailed, rep.Result, c.name)
+		require.Equal(t, c.want, rep.Reason, c.name)
+		require.Empty(t, rep.Data, c.name)
+	}
+}
+
 // TestLateSecondAnswerInATLSRecordIsNotBelieved has a server send a refusal to another sending in the TLS record that ends its answer,
 // where neither the socket nor the buffer of the connection shows it.
 func TestLateSecondAnswerInATLSRecordIsNotBelieved(t *testing.T) {
--- a/internal/edge/catalog_test.go
+++ b/internal/edge/catalog_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"sort"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -103,3 +107,42 @@
 		}
 	})
 }
+
+// TestConnectionsToAReplacedServerAreClosed has a server start again, move, leave, or lose its address to another one: its idle
+// connections are closed, and none is kept from then on.
+func TestConnectionsToAReplacedServerAreClosed(t *testing.T) {
+	first := spread.Server{ID: "s1", Born: 1, State: spread.ServerReady, Service: "v"}
+	for _, c := range []struct {
+		name   string
+		change func(r *spread.Server)
+	}{
+		{"start", func(r *spread.Server) { r.Born = 2 }},
+		{"move", func(r *spread.Server) { r.Address = "127.0.0.1:1" }},
+		{"end", func(r *spread.Server) { r.State = spread.ServerGone }},
+		{"takeover", func(r *spread.Server) { r.ID, r.Born, r.Service = "s2", 2, "w" }},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(tier.HeaderRequestID, r.Header.Get(tier.HeaderRequestID))
+		}))
+		var list catalog
+		list.start()
+		r := first
+		r.Address = s.Listener.Addr().String()
+		list.update([]spread.Server{r})
+		old := list.Direct("s1")
+		names := tier.DefaultHeaders()
+		send := func() {
+			_, err := old.Do(t.Context(), conn.NewOutgoing(&names, http.MethodGet, "/", "x", "id", http.Header{}, nil), time.Second, false)
+			require.NoError(t, err, c.name)
+		}
+		send()
+		require.Equal(t, 1, old.Idle(), c.name)
+		c.change(&r)
+		list.update([]spread.Server{r})
+		require.NotSame(t, old, list.Direct("s1"), c.name)
+		require.Zero(t, old.Idle(), c.name)
+		send()
+		require.Zero(t, old.Idle(), "%s: a request that was under way leaves none", c.name)
+		s.Close()
+	}
+}
