conn: a request without an ID uses a connection that has carried none

Seen: by a test only; callers on the users' machines always send an ID. A refusal or time-out without an ID, sent for an earlier request, was taken for the answer to a request without an ID: 'not run' of a request that ran. Cause: an answer without an ID was checked against the connection's past only if the request had one. Change: such a request takes an idle connection only if it carried nothing yet, and an answer without an ID counts only there.

--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -91,7 +91,11 @@
 	hash := hashID(id)
 	var repeated *directConn
 	fresh := func(c *directConn) bool {
-		if id == "" || !c.carried.contains(hash) {
+		if id == "" {
+			// The answer may have no ID, like a late one to any earlier request.
+			return c.use.Place == 0
+		}
+		if !c.carried.contains(hash) {
 			return true
 		}
 		repeated = c
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -181,7 +181,7 @@
 			}
 			return resp, reuse && clean && c.answers.idle(), nil
 		case matchAnonymous:
-			if o.ID != "" && !c.firstExchange {
+			if !c.firstExchange {
 				resp.Reservation.Release()
 				c.discarded(StrayUnnamed, o, server, &resp)
 				return Answer{}, false, errors.Wrap(ErrMalformed, "answer without an ID on a connection that had carried another request")
