conn: an answer that names two requests answers none

Seen: by a test only. Of an answer with two ID headers the first counted, whatever the second said. Change: each ID in an answer must be the request's.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -223,14 +224,18 @@
 	matchAnonymous
 )
 
-// match compares an answer with the request. Where servers sign their answers, a signed answer
-// without an ID belongs to no request.
+// match compares an answer with the request; each ID in the answer counts. Where servers sign their
+// answers, a signed answer without an ID belongs to no request.
 func (o *Outgoing) match(a *Answer) match {
-	switch id := a.Header.Get(o.Names.RequestID); {
-	case id != "" && id == o.ID:
+	ids := a.Header.Values(o.Names.RequestID)
+	for _, id := range ids {
+		if id != "" && id != o.ID {
+			return matchOther
+		}
+	}
+	switch {
+	case slices.ContainsFunc(ids, func(id string) bool { return id != "" }):
 		return matchOwn
-	case id != "":
-		return matchOther
 	case o.Names.Signature != "" && a.Header.Get(o.Names.Signature) != "":
 		return matchOther
 	}
