conn: an answer that is not recognized is not skipped for a second one

Cause: an answer that did not name the request was skipped as one to an earlier request, whether the connection had carried that request or not, and the next answer that named it was taken. Change: an answer is skipped only if it names one request, which the connection has carried. Any other is malformed. So that answers without an ID that arrive while a connection is idle cost no request, an idle connection is looked at each time before it is used again; that also ends the wait for a server that has closed its side. Why it works: what is not skipped ends the connection, so no second answer can follow. Evidence: TestSecondAnswerIsNotTakenIfTheFirstIsNotRecognized (no ID, another case, a list, two IDs, a folded one, an unknown one; fresh and used connections) failed before at the first row; TestSignedAnswerWithoutAnIDBelongsToNoRequest unchanged.

--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -76,18 +76,18 @@
 }
 
 // get returns an idle connection that has not carried the ID, or dials a new one. With verify, it has
-// checked that the server has not closed or reset the connection.
+// checked that the server leaves the new one open.
 func (d *Direct) get(ctx context.Context, id string, verify bool) (*directConn, error) {
-	c := d.takeIdle(id, verify)
-	if c != nil {
+	if c := d.takeIdle(id); c != nil {
 		return c, nil
 	}
 	return d.dial(ctx, verify)
 }
 
-// takeIdle returns an idle connection that has not carried the ID, or nil. An ID names a request, not one
+// takeIdle returns an idle connection that has not carried the ID, or nil. The server has neither closed nor
+// reset it, nor sent anything that could be taken for the next answer. An ID names a request, not one
 // sending of it: a late second answer to an earlier sending would pass for the answer to the next one.
-func (d *Direct) takeIdle(id string, verify bool) *directConn {
+func (d *Direct) takeIdle(id string) *directConn {
 	hash := hashID(id)
 	var repeated *directConn
 	fresh := func(c *directConn) bool {
@@ -102,17 +102,17 @@
 		return false
 	}
 	c, ok := d.idle.pop(fresh)
-	for ok && (time.Now().After(c.idleUntil) || (verify && !isReusable(c.conn))) {
+	for ok && (time.Now().After(c.idleUntil) || !isReusable(c.conn)) {
 		_ = c.conn.Close()
 		c, ok = d.idle.pop(fresh)
 	}
 	if repeated != nil && d.OnRepeat != nil {
 		d.OnRepeat(Repeat{Server: d.Server, Conn: repeated.use.Conn, Request: id})
 	}
-	if !ok {
-		return nil
+	if ok {
+		return c
 	}
-	return c
+	return nil
 }
 
 // dial opens a connection. With verify, it has checked that the server leaves it open.
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -160,9 +160,11 @@
 	}
 }
 
-// readMatching reads the answer to o. Late answers to other requests before it are skipped, and a
-// connection that carried one is not reused. Neither is one that carried an answer without an ID: a
-// second copy of it could not be told from the answer to the next request.
+// readMatching reads the answer to o. Late answers to other requests that the connection has carried are
+// skipped before it, and the connection is not reused. Any other answer that does not name o may be the answer
+// to o all the same, so that the one behind it, which names o, would be a second one: it is malformed.
+// A connection that carried an answer without an ID is not reused: a second copy of it could not be told from
+// the answer to the next request.
 func (c *directConn) readMatching(o *Outgoing, l *AnswerLimits, server tier.ServerID) (resp Answer, reuse bool, err error) {
 	clean := true
 	for range maxAnswersRead {
@@ -172,23 +174,19 @@
 		}
 		switch o.match(&resp) {
 		case matchOwn:
-			if headSpliced(resp.Header, o.Names) || c.spliced(o, &resp, reuse) {
-				resp.Reservation.Release()
-				c.discarded(StraySpliced, o, server, &resp)
-				return Answer{}, false, errors.Wrap(ErrMalformed, errSpliced.Error())
-			}
-			if !c.answers.idle() {
-				c.discarded(StrayTrailing, o, server, nil)
+			if err := c.checkWhole(o, &resp, reuse, server); err != nil {
+				return Answer{}, false, err
 			}
 			return resp, reuse && clean && c.answers.idle(), nil
 		case matchAnonymous:
-			if !c.firstExchange {
-				resp.Reservation.Release()
-				c.discarded(StrayUnnamed, o, server, &resp)
-				return Answer{}, false, errors.Wrap(ErrMalformed, "answer without an ID on a connection that had carried another request")
+			if c.firstExchange {
+				return resp, false, nil
 			}
-			return resp, false, nil
+			return Answer{}, false, c.reject(StrayUnnamed, o, server, &resp, "answer without an ID on a connection that had carried another request")
 		case matchOther:
+			if ids := resp.Header.Values(o.Names.RequestID); len(ids) != 1 || !c.carried.contains(hashID(ids[0])) {
+				return Answer{}, false, c.reject(StrayOther, o, server, &resp, "answer names no request that the connection has carried")
+			}
 			resp.Reservation.Release()
 			c.discarded(StrayOther, o, server, &resp)
 			clean = false
@@ -197,6 +195,24 @@
 	return Answer{}, false, errors.Wrap(ErrMalformed, "received only answers to other requests")
 }
 
+// checkWhole returns an error if another answer begins within the own one, and reports bytes behind it.
+func (c *directConn) checkWhole(o *Outgoing, a *Answer, reuse bool, server tier.ServerID) error {
+	if headSpliced(a.Header, o.Names) || c.spliced(o, a, reuse) {
+		return c.reject(StraySpliced, o, server, a, errSpliced.Error())
+	}
+	if !c.answers.idle() {
+		c.discarded(StrayTrailing, o, server, nil)
+	}
+	return nil
+}
+
+// reject reports a Stray after which the connection cannot be used, and returns the error for the request.
+func (c *directConn) reject(kind StrayKind, o *Outgoing, server tier.ServerID, a *Answer, why string) error {
+	a.Reservation.Release()
+	c.discarded(kind, o, server, a)
+	return errors.Wrap(ErrMalformed, why)
+}
+
 // discarded reports a Stray; a is nil for trailing bytes.
 func (c *directConn) discarded(kind StrayKind, o *Outgoing, server tier.ServerID, a *Answer) {
 	if c.onStray == nil {
