conn: a repeat closes a connection before it opens one

Seen: by the review of: 40 sequential requests under one ID left 40 idle connections; against a server that takes two, 38 of 40 failed. Cause: connections that had carried the ID were passed over and stayed open beside the new one. Change: if no idle connection can carry a request because of its ID, one of them is closed for the new one. Result: TestRepeatsStayWithinTheServersConnections fails without it; TestNoConnectionCarriesAnIDTwice asked that connections that are passed over stay open and asks now that a new one replaces them: as strict, the number is fixed.

--- a/internal/conn/direct.go
+++ b/internal/conn/direct.go
@@ -112,9 +112,19 @@
 	if ok {
 		return c
 	}
+	if repeated != nil {
+		d.closeOneIdle()
+	}
 	return nil
 }
 
+// closeOneIdle closes an idle connection, so that a new one in its place does not exceed the server's limit.
+func (d *Direct) closeOneIdle() {
+	if c, ok := d.idle.pop(nil); ok {
+		_ = c.conn.Close()
+	}
+}
+
 // dial opens a connection. With verify, it has checked that the server leaves it open.
 func (d *Direct) dial(ctx context.Context, verify bool) (*directConn, error) {
 	dialer := net.Dialer{
