stand: endless answers over a connection

Cause: the soak's servers are to answer over raw connections, and SendEndless needs an HTTP server's. Change: WriteEndless does the same for a connection; SendEndless calls it. Result: TestEndlessAnswersGoOnUntilTheCallerCloses passes.

--- a/internal/stand/endless.go
+++ b/internal/stand/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -40,10 +41,15 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	WriteEndless(c, kind, idHeader, r.Header.Get(idHeader))
+}
+
+// WriteEndless is SendEndless over a connection, which it closes; id is the request's id.
+func WriteEndless(c net.Conn, kind int, idHeader, id string) {
 	defer func() { _ = c.Close() }()
 	a := endlessAnswers[kind%len(endlessAnswers)]
 	_ = c.SetWriteDeadline(time.Now().Add(maxEndless))
-	_, err = c.Write([]byte(strings.Replace(a.first, "ID", idHeader+": "+r.Header.Get(idHeader), 1)))
+	_, err := c.Write([]byte(strings.Replace(a.first, "ID", idHeader+": "+id, 1)))
 	block := bytes.Repeat([]byte(a.again), endlessBlockBytes/len(a.again))
 	for err == nil {
 		_, err = c.Write(block)
