soak: servers answer over raw connections, and the checker compares answers

The soak's servers answered through net/http, which cannot answer a request twice, and the checker knew a request by its ID only: an answer to an earlier sending of the same ID passed. Change: servers read requests from the accepted connection and write answers themselves (serve.go), and can fail, refuse and stutter by a habit (stutter.go; no fault sets one yet). Each sending of a request has a name of its own that nodes pass on; each answer names its run. The checker records the first answer to each sending and compares status, body and header of what callers get with it, each part of a gathered answer too (given.go). Names without a Signature leave nothing to sign; a header with the run's number, compared with the body, stands for it. Runs, refusals and the budget are counted by sending, which is the same as by ID until callers repeat. A new route reads from a service without shards. Arrivals that a server refuses count for the budget and after a drain. checkBudget takes its bounds from the constants that all its callers passed.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -9,9 +9,9 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
-	"sassafrasring.dev/sassafrasring/internal/stand"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -31,11 +31,14 @@
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		h := f.hosts[r.IntN(len(f.hosts))]
-		id := fmt.Sprintf("%d-%d-%d", f.Seed, n, i)
-		if r.IntN(4) == 0 {
-			f.write(ctx, client, h, id)
-		} else {
-			f.search(ctx, client, h, id)
+		q := sending{id: fmt.Sprintf("%d-%d-%d", f.Seed, n, i)}
+		switch r.IntN(4) {
+		case 0:
+			f.write(ctx, client, h, q)
+		case 1:
+			f.read(ctx, client, h, q)
+		default:
+			f.search(ctx, client, h, q)
 		}
 		pause(ctx, time.Duration(5+r.IntN(30))*time.Millisecond)
 	}
@@ -58,7 +61,7 @@
 }
 
 // request sends one request and reads its whole response.
-func (f *Fleet) request(ctx context.Context, client *http.Client, h *host, method, path, id string, body []byte) response {
+func (f *Fleet) request(ctx context.Context, client *http.Client, h *host, method, path string, q sending, body []byte) response {
 	// A request that has started is completed even if the run ends.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestDeadline+deadlineMargin)
 	defer cancel()
@@ -67,7 +70,8 @@
 		return response{}
 	}
 	req.Host = "soak.example"
-	req.Header.Set(tier.HeaderRequestID, id)
+	req.Header.Set(tier.HeaderRequestID, q.id)
+	req.Header.Set(headerSending, q.String())
 	req.Header.Set(tier.HeaderDeadline, strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	resp, err := client.Do(req)
 	if err != nil {
@@ -81,35 +85,46 @@
 	return response{status: resp.StatusCode, header: resp.Header, body: b}
 }
 
-func (f *Fleet) search(ctx context.Context, client *http.Client, h *host, id string) {
-	a := f.request(ctx, client, h, http.MethodGet, "/search/", id, nil)
-	f.checker.recordOutcome(id, a)
-	switch a.status {
-	case http.StatusOK:
-		n, err := stand.CheckRecords(id, a.body)
-		missing, e := strconv.Atoi(a.header.Get(tier.DefaultHeaders().Missing))
-		if err != nil || e != nil || n+missing != shards || n < minShards {
-			f.checker.report("response to %s: %d shards present, %d reported missing: %v", id, n, missing, err)
+func (f *Fleet) search(ctx context.Context, client *http.Client, h *host, q sending) {
+	a := f.request(ctx, client, h, http.MethodGet, "/search/", q, nil)
+	f.checkResponse(h, q, a, f.shardServices()...)
+	if a.status == http.StatusOK {
+		n := f.checker.checkParts(q, a)
+		missing, err := strconv.Atoi(a.header.Get(tier.DefaultHeaders().Missing))
+		if err != nil || n+missing != shards || n < minShards {
+			f.checker.report("response to %s: %d shards present, %d reported missing: %v", q, n, missing, err)
 		}
-	case http.StatusNotFound:
-		f.checker.report("%s returned 404 for request %s, whose route exists", h.id, id)
 	}
 }
 
+// read sends an idempotent request to a service that has no shards: the response is the server's own.
+func (f *Fleet) read(ctx context.Context, client *http.Client, h *host, q sending) {
+	a := f.request(ctx, client, h, http.MethodGet, "/read/", q, nil)
+	f.checkResponse(h, q, a, deskService)
+	f.checker.checkAnswer(q, a)
+}
+
 // write sends a non-idempotent request, which must run at most once.
-func (f *Fleet) write(ctx context.Context, client *http.Client, h *host, id string) {
-	f.checker.markNonIdempotent(id)
-	a := f.request(ctx, client, h, http.MethodPost, "/write/", id, []byte("w"))
-	f.checker.recordOutcome(id, a)
+func (f *Fleet) write(ctx context.Context, client *http.Client, h *host, q sending) {
+	f.checker.markNonIdempotent(q.String())
+	a := f.request(ctx, client, h, http.MethodPost, "/write/", q, []byte("w"))
+	f.checkResponse(h, q, a, deskService)
+	f.checker.checkAnswer(q, a)
+	if want := "POST w of " + q.String(); a.status == http.StatusOK && !strings.HasPrefix(string(a.body), want) {
+		f.checker.report("response to %s has the wrong body %q", q, a.body)
+	}
+}
+
+// checkResponse records a response and checks its status. A 404 without a body is the node's own.
+func (f *Fleet) checkResponse(h *host, q sending, a response, services ...string) {
+	f.checker.recordOutcome(q.String(), a)
 	switch a.status {
-	case http.StatusOK:
-		if want := "w of " + id; string(a.body) != want {
-			f.checker.report("response to %s has the wrong body %q", id, a.body)
-		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		f.checker.recordNotRun(id, "desk")
+		f.checker.recordNotRun(q.String(), services...)
 	case http.StatusNotFound:
-		f.checker.report("%s returned 404 for request %s, whose route exists", h.id, id)
+		if len(a.body) == 0 {
+			f.checker.report("%s returned 404 for request %s, whose route exists", h.id, q)
+		}
 	}
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -70,7 +71,9 @@
 	Seed           uint64
 	Served, Failed int
 	Tables         int
-	Violations     []string
+	// SecondAnswers is how many requests servers answered twice.
+	SecondAnswers int
+	Violations    []string
 }
 
 // Run runs the soak and returns the guarantees that were violated.
@@ -92,9 +95,9 @@
 	pause(ctx, faultFreeTime)
 	stop()
 	f.wait.Wait()
-	f.checker.checkBudget(repeatWindow, repeatPercent/100.0, repeatFixed)
+	f.checker.checkBudget()
 	j := f.checker
-	return Result{Seed: f.Seed, Served: j.served, Failed: j.failed, Tables: j.acked / operators, Violations: j.violations}, ctx.Err()
+	return Result{Seed: f.Seed, Served: j.served, Failed: j.failed, Tables: j.acked / operators, SecondAnswers: j.seconds, Violations: j.violations}, ctx.Err()
 }
 
 // startAll starts relays, hosts and servers, and waits until every host answers a search with all shards.
@@ -114,12 +117,12 @@
 		}
 	}
 	for i := range shards * replicas {
-		if err := f.addServer(fmt.Sprintf("s%d", i%shards), byte(i%shards)); err != nil {
+		if err := f.addServer(shardService(i%shards), byte(i%shards)); err != nil {
 			return err
 		}
 	}
 	for range deskServers {
-		if err := f.addServer("desk", 0); err != nil {
+		if err := f.addServer(deskService, 0); err != nil {
 			return err
 		}
 	}
@@ -133,13 +136,25 @@
 
 func (f *Fleet) addServer(service string, shard byte) error {
 	id := fmt.Sprintf("%s-%d", service, len(f.servers))
-	s, err := startServer(id, service, shard, f.controlAddrs(), f.checker)
+	s, err := startServer(id, service, shard, f.controlAddrs(), f.checker, rand.New(rand.NewPCG(f.Seed, uint64(300+len(f.servers)))))
 	if err == nil {
 		f.servers = append(f.servers, s)
 	}
 	return err
 }
 
+// deskService is the service without shards.
+const deskService = "desk"
+
+func shardService(shard int) string { return fmt.Sprintf("s%d", shard) }
+
+func (f *Fleet) shardServices() (list []string) {
+	for i := range shards {
+		list = append(list, shardService(i))
+	}
+	return list
+}
+
 // controlAddrs returns the control addresses of all hosts for a server, in rotation from a random host.
 func (f *Fleet) controlAddrs() []string {
 	var out []string
@@ -154,7 +169,7 @@
 // allComplete reports whether every host answers a search with all shards.
 func (f *Fleet) allComplete(client *http.Client) bool {
 	for _, h := range f.hosts {
-		a := f.request(f.ctx, client, h, http.MethodGet, "/search/", fmt.Sprintf("whole-%d-%d", f.Seed, time.Now().UnixNano()), nil)
+		a := f.request(f.ctx, client, h, http.MethodGet, "/search/", sending{id: fmt.Sprintf("whole-%d-%d", f.Seed, time.Now().UnixNano())}, nil)
 		if a.status != http.StatusOK || a.header.Get(tier.DefaultHeaders().Missing) != "0" {
 			return false
 		}
@@ -177,8 +192,8 @@
 // contents of two versions differ.
 func (f *Fleet) routingTable(version int) []byte {
 	var list []string
-	for i := range shards {
-		list = append(list, fmt.Sprintf("%q", fmt.Sprintf("s%d", i)))
+	for _, s := range f.shardServices() {
+		list = append(list, strconv.Quote(s))
 	}
 	services := `{"name": "desk"}`
 	for _, s := range list {
@@ -186,6 +201,7 @@
 	}
 	return fmt.Appendf(nil, `{"version": %d, "routes": [
 		{"name": "search", "host": "soak.example", "prefix": "/search/", "idempotent": true, "timeout": 4000, "target": 200, "attempts": 2, "gather": [%s], "top": 100, "least": %g},
+		{"name": "read", "host": "soak.example", "prefix": "/read/", "idempotent": true, "timeout": 4000, "service": "desk", "attempts": 2},
 		{"name": "write", "host": "soak.example", "prefix": "/write/", "timeout": 4000, "service": "desk", "attempts": 2},
 		{"name": "extra-%d", "host": "extra.example", "prefix": "/v%d/", "timeout": 4000, "service": "desk"}],
 		"services": [%s]}`, version, strings.Join(list, ", "), float64(minShards)/shards, version, version, services)
@@ -222,6 +238,7 @@
 		s.relay.setFault(Fault{})
 		s.relay.reset()
 		s.setState(false, 0)
+		s.setHabits(func(h *habits) { *h = habits{} })
 	}
 }
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -15,15 +15,18 @@
 	mu         sync.Mutex
 	started    time.Time
 	violations []string
-	// executions counts how often each request ran, by request id and service.
-	executions map[string]int
-	// notRun holds the ids of requests that were refused as not run and so must not run later.
+	// executions counts how often each sending of a request ran, arrived how often servers got it, by sending and service.
+	executions, arrived map[string]int
+	// given holds the answers of servers by body; runs and seconds are the numbers of first and second answers.
+	given         map[string]given
+	runs, seconds int
+	// notRun holds the sendings that were refused as not run and so must not run later.
 	notRun map[string]bool
 	// nonIdempotent holds the ids of requests that must run at most once.
 	nonIdempotent map[string]bool
 	// acked is the highest routing table version acknowledged to an operator.
 	acked int
-	// arrivals holds the executions of each service in order of time, for the repeat budget.
+	// arrivals holds the arrivals at each service in order of time, for the repeat budget.
 	arrivals map[string][]arrival
 	// faultyUntil is the time until which faults of links or hosts may delay what hosts learn.
 	faultyUntil time.Time
@@ -31,14 +34,14 @@
 	failed      int
 }
 
-// arrival is a request that a server began to run; repeat is true if its id had reached the service before.
+// arrival is a request that reached a server; repeat is true if the same sending had reached the service before.
 type arrival struct {
 	at     time.Time
 	repeat bool
 }
 
 func newChecker() *checker {
-	return &checker{started: time.Now(), executions: map[string]int{}, notRun: map[string]bool{}, nonIdempotent: map[string]bool{}, arrivals: map[string][]arrival{}}
+	return &checker{started: time.Now(), executions: map[string]int{}, arrived: map[string]int{}, given: map[string]given{}, notRun: map[string]bool{}, nonIdempotent: map[string]bool{}, arrivals: map[string][]arrival{}}
 }
 
 // reportLocked is report for callers that hold the lock.
@@ -76,32 +79,47 @@
 	return j.stableLocked()
 }
 
-// recordRun records that a server began to run a request; afterDrain is true if its drain must have taken effect
-// before.
+// recordRun records that a server began to run a sending of a request; afterDrain is true if its drain must have taken
+// effect before.
 func (j *checker) recordRun(id, service string, afterDrain bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.recordArrivalLocked(id, service, afterDrain)
 	key := id + "/" + service
 	j.executions[key]++
-	j.arrivals[service] = append(j.arrivals[service], arrival{time.Now(), j.executions[key] > 1})
 	if j.nonIdempotent[id] && j.executions[key] > 1 {
 		j.reportLocked("request %s ran %d times though it must not be repeated", id, j.executions[key])
 	}
-	if j.notRun[id] && j.nonIdempotent[id] {
+	if j.notRun[id] {
 		j.reportLocked("request %s ran after it was refused as not run", id)
 	}
+}
+
+// recordRefusal is recordRun for a sending that the server refuses to run.
+func (j *checker) recordRefusal(id, service string, afterDrain bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.recordArrivalLocked(id, service, afterDrain)
+}
+
+func (j *checker) recordArrivalLocked(id, service string, afterDrain bool) {
+	key := id + "/" + service
+	j.arrived[key]++
+	j.arrivals[service] = append(j.arrivals[service], arrival{time.Now(), j.arrived[key] > 1})
 	if afterDrain && j.stableLocked() {
 		j.reportLocked("request %s reached a server of %s more than %v after its drain was acknowledged", id, service, maxDrainDelay)
 	}
 }
 
-// recordNotRun records a refusal that guarantees that the request has not run.
-func (j *checker) recordNotRun(id, service string) {
+// recordNotRun records a refusal that guarantees that a sending of a request has not run, and will not.
+func (j *checker) recordNotRun(id string, services ...string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.notRun[id] = true
-	if j.nonIdempotent[id] && j.executions[id+"/"+service] > 0 {
-		j.reportLocked("request %s was refused as not run, but ran", id)
+	for _, s := range services {
+		if j.executions[id+"/"+s] > 0 {
+			j.reportLocked("request %s was refused as not run, but ran on %s", id, s)
+		}
 	}
 }
 
@@ -139,22 +157,23 @@
 	return j.acked
 }
 
-// checkBudget checks that each service got at most ratio*(first requests)+fixed repeats in every window.
-func (j *checker) checkBudget(window time.Duration, ratio, fixed float64) {
+// checkBudget checks that each service got at most repeatPercent of first requests and repeatFixed as repeats in every
+// repeatWindow.
+func (j *checker) checkBudget() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for service, list := range j.arrivals {
 		for i := range list {
 			firsts, repeats := 0, 0
-			for k := i; k < len(list) && list[k].at.Sub(list[i].at) < window; k++ {
+			for k := i; k < len(list) && list[k].at.Sub(list[i].at) < repeatWindow; k++ {
 				if list[k].repeat {
 					repeats++
 				} else {
 					firsts++
 				}
 			}
-			if float64(repeats) > ratio*float64(firsts)+fixed {
-				j.reportLocked("service %s got %d repeats for %d requests in %v", service, repeats, firsts, window)
+			if float64(repeats) > repeatPercent/100.0*float64(firsts)+repeatFixed {
+				j.reportLocked("service %s got %d repeats for %d requests in %v", service, repeats, firsts, repeatWindow)
 				break
 			}
 		}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -4,14 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"sassafrasring.dev/sassafrasring/internal/stand"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -38,15 +36,17 @@
 	endlessKind int
 	// drainedBy is when an acknowledged drain must have taken effect; zero if there is none.
 	drainedBy time.Time
-	http      *http.Server
 	listener  net.Listener
+	conns     map[net.Conn]bool
+	habits    habits
+	rand      *rand.Rand
 	stop      chan struct{}
 	wait      sync.WaitGroup
 }
 
 // startServer starts a server behind a relay and announces it regularly.
-func startServer(id, service string, shard byte, control []string, j *checker) (*server, error) {
-	s := &server{id: id, service: service, shard: shard, control: control, checker: j, stop: make(chan struct{})}
+func startServer(id, service string, shard byte, control []string, j *checker, r *rand.Rand) (*server, error) {
+	s := &server{id: id, service: service, shard: shard, control: control, checker: j, rand: r, stop: make(chan struct{})}
 	l, err := listenOn("127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -64,19 +64,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startedMs, s.seq, s.crashed, s.draining = time.Now().UnixMilli(), 0, false, false
-	s.listener, s.drainedBy = l, time.Time{}
-	s.http = &http.Server{Handler: s}
-	go func(h *http.Server) { _ = h.Serve(l) }(s.http)
+	s.listener, s.drainedBy, s.conns = l, time.Time{}, map[net.Conn]bool{}
+	s.wait.Add(1)
+	go s.accept(l)
 }
 
 // crash closes the listener and all connections and stops the announcements; restart listens on the same address as
 // a new instance.
 func (s *server) crash() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.crashed = true
-	h := s.http
-	s.mu.Unlock()
-	_ = h.Close()
+	_ = s.listener.Close()
+	for c := range s.conns {
+		_ = c.Close()
+	}
 }
 
 func (s *server) restart() {
@@ -165,34 +167,3 @@
 	}
 	return true
 }
-
-// ServeHTTP runs a request and records it.
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	id := r.Header.Get(tier.HeaderRequestID)
-	if want := r.Header.Get(tier.DefaultHeaders().Expect); want != "" && want != s.id {
-		w.Header().Set(tier.HeaderRequestID, id)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	s.mu.Lock()
-	endless, kind := s.endless, s.endlessKind
-	s.endlessKind++
-	delay, afterDrain := s.delay, !s.drainedBy.IsZero() && time.Now().After(s.drainedBy)
-	s.mu.Unlock()
-	s.checker.recordRun(id, s.service, afterDrain)
-	if endless {
-		stand.SendEndless(w, r, kind, tier.HeaderRequestID)
-		return
-	}
-	time.Sleep(delay)
-	w.Header().Set(tier.HeaderRequestID, id)
-	if r.Method == http.MethodPost {
-		_, _ = fmt.Fprintf(w, "%s of %s", body, id)
-		return
-	}
-	_, _ = w.Write(stand.Records(id, s.shard))
-}
