soak: callers' transport sends a request once

Cause: net/http sends a GET again by itself when a connection that it used before is reset: with the same ID and, in the soak, under the same sending, so that its runs and answers could not be told from those of the first. Change: the body cannot be read again, so that the transport reports the reset; nothing changes on the wire.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -65,10 +65,12 @@
 	// A request that has started is completed even if the run ends.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestDeadline+deadlineMargin)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.addr(h.id, portCallers)+path, bytes.NewReader(body))
+	// A body that cannot be read again keeps the transport from sending the request a second time by itself.
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.addr(h.id, portCallers)+path, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return response{}
 	}
+	req.ContentLength = int64(len(body))
 	req.Host = "soak.example"
 	req.Header.Set(tier.HeaderRequestID, q.id)
 	req.Header.Set(headerSending, q.String())
