soak: servers listen on an address of the run's own

Cause: servers and their relays listened on ports of 127.0.0.1 that the system chose, beside every other test on the machine. A server that is down gives its port back, and a port that another process has just given back may go to a server. Change: servers and relays listen on 127.92.N.1, N from the seed as for the hosts' addresses. Result: TestServerAnswersTwice passes with servers at such an address.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -102,10 +102,9 @@
 
 // startAll starts relays, hosts and servers, and waits until every host answers a search with all shards.
 func (f *Fleet) startAll() error {
-	network := 1 + f.Seed%250
 	f.port = 14000 + int(f.Seed%1500)*portCount
 	for i := range f.Hosts {
-		h := &host{fleet: f, index: i, id: fmt.Sprintf("127.90.%d.%d", network, i+1), bind: fmt.Sprintf("127.91.%d.%d", network, i+1), hasDisk: i < f.Disks, bootstrap: true}
+		h := &host{fleet: f, index: i, id: fmt.Sprintf("127.90.%d.%d", f.network(), i+1), bind: fmt.Sprintf("127.91.%d.%d", f.network(), i+1), hasDisk: i < f.Disks, bootstrap: true}
 		f.hosts = append(f.hosts, h)
 		if err := h.openRelays(); err != nil {
 			return err
@@ -135,14 +134,22 @@
 }
 
 func (f *Fleet) addServer(service string, shard byte) error {
-	id := fmt.Sprintf("%s-%d", service, len(f.servers))
-	s, err := startServer(id, service, shard, f.controlAddrs(), f.checker, rand.New(rand.NewPCG(f.Seed, uint64(300+len(f.servers)))))
-	if err == nil {
-		f.servers = append(f.servers, s)
+	n := len(f.servers)
+	s := &server{
+		id: fmt.Sprintf("%s-%d", service, n), service: service, shard: shard, control: f.controlAddrs(), checker: f.checker,
+		rand: rand.New(rand.NewPCG(f.Seed, uint64(300+n))),
 	}
-	return err
+	// An address of the run's own: while a server is down, another process on this machine could get its port.
+	if err := s.start(fmt.Sprintf("127.92.%d.1", f.network())); err != nil {
+		return err
+	}
+	f.servers = append(f.servers, s)
+	return nil
 }
 
+// network returns the part of the IP addresses that differs between runs side by side.
+func (f *Fleet) network() uint64 { return 1 + f.Seed%250 }
+
 // deskService is the service without shards.
 const deskService = "desk"
 
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -44,20 +44,20 @@
 	wait      sync.WaitGroup
 }
 
-// startServer starts a server behind a relay and announces it regularly.
-func startServer(id, service string, shard byte, control []string, j *checker, r *rand.Rand) (*server, error) {
-	s := &server{id: id, service: service, shard: shard, control: control, checker: j, rand: r, stop: make(chan struct{})}
-	l, err := listenOn("127.0.0.1:0")
+// start starts the server behind a relay, both on the IP address, and announces it regularly.
+func (s *server) start(ip string) error {
+	s.stop = make(chan struct{})
+	l, err := listenOn(net.JoinHostPort(ip, "0"))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if s.relay, err = newStreamRelay("127.0.0.1:0", l.Addr().String()); err != nil {
-		return nil, err
+	if s.relay, err = newStreamRelay(net.JoinHostPort(ip, "0"), l.Addr().String()); err != nil {
+		return err
 	}
 	s.listen(l)
 	s.wait.Add(1)
 	go s.announce()
-	return s, nil
+	return nil
 }
 
 func (s *server) listen(l net.Listener) {
--- a/internal/soak/stutter_test.go
+++ b/internal/soak/stutter_test.go
@@ -21,8 +21,8 @@
 // TestServerAnswersTwice sends requests to a stuttering server and expects each kind of second answer, and each at each
 // moment: at once, while the connection is idle, and in place of the next answer.
 func TestServerAnswersTwice(t *testing.T) {
-	s, err := startServer("d", deskService, 0, []string{"127.0.0.1:1"}, newChecker(), rand.New(rand.NewPCG(1, 1)))
-	require.NoError(t, err)
+	s := &server{id: "d", service: deskService, control: []string{"127.0.0.1:1"}, checker: newChecker(), rand: rand.New(rand.NewPCG(1, 1))}
+	require.NoError(t, s.start("127.92.251.1"))
 	defer s.close()
 	s.setHabits(func(h *habits) { h.stutters = true })
 	type exchange struct {
