soak: a second answer comes after the first

Cause: the goroutine of a second answer for an idle connection was started before the first answer was written; when the writer was not scheduled, the second one came first, and the node rightly took it. Change: the first answer is written, then the goroutine is started. TestServerAnswersTwice checks that the recorded answer comes first; on the former code it did not fail in 40 runs, since an idle process does not hold up the writer.

--- a/internal/soak/stutter.go
+++ b/internal/soak/stutter.go
@@ -106,12 +106,14 @@
 		out = append(out, second.encode()...)
 	case momentNext:
 		c.held = second.encode()
-	case momentIdle:
+	case momentNever, momentIdle, moments:
+	}
+	err := c.write(out)
+	if m == momentIdle {
 		s.wait.Add(1)
 		go s.answerLate(c, second, late)
-	case momentNever, moments:
 	}
-	return c.write(out)
+	return err
 }
 
 func (s *server) answerLate(c *serverConn, second reply, late time.Duration) {
--- a/internal/soak/stutter_test.go
+++ b/internal/soak/stutter_test.go
@@ -36,8 +36,13 @@
 		require.NoError(t, x.conn.SetReadDeadline(time.Now().Add(dialTimeout)))
 		a, err := http.ReadResponse(x.in, nil)
 		require.NoError(t, err)
-		_, err = io.Copy(io.Discard, a.Body)
+		body, err := io.ReadAll(a.Body)
 		require.NoError(t, err)
+		if x.first == nil {
+			s.checker.mu.Lock()
+			defer s.checker.mu.Unlock()
+			require.Equal(t, s.checker.given[string(body)].status, a.StatusCode, "the recorded answer comes first")
+		}
 		return a
 	}
 	var list []*exchange
