soak: servers stutter, fail and refuse, and callers send again

Change: four kinds of faults, chosen by the seed beside the others: a server stutters, all do, one fails, one refuses. Faults of one kind that overlap are counted, so that the first that ends doesn't end the other. Fleet.First (flag -first) names a fault that lasts for the whole injection; TestSoak begins with all servers stuttering.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,6 +31,7 @@
 	hosts := flag.Int("hosts", 5, "number of nodes")
 	disks := flag.Int("disks", 3, "number of nodes with a disk")
 	length := flag.Duration("length", 12*time.Second, "duration of the fault injection")
+	first := flag.String("first", "", "name of a fault that lasts for the whole duration of the fault injection, such as \"all servers stutter\"")
 	verbose := flag.Bool("v", false, "print each injected fault")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -41,7 +42,7 @@
 	}
 	failedRuns := 0
 	for seed := *firstSeed; seed < *firstSeed+uint64(*runs); seed++ {
-		f := &soak.Fleet{Binary: path, Seed: seed, Hosts: *hosts, Disks: *disks, FaultDuration: *length, Out: io.Discard}
+		f := &soak.Fleet{Binary: path, Seed: seed, Hosts: *hosts, Disks: *disks, FaultDuration: *length, First: *first, Out: io.Discard}
 		if *verbose {
 			f.Out = os.Stdout
 		}
@@ -69,7 +70,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("seed %d, logs in %s: %w", f.Seed, f.Dir, err)
 	}
-	fmt.Printf("seed %d: %d requests served, %d failed, %d routing tables, %d violated guarantees\n", r.Seed, r.Served, r.Failed, r.Tables, len(r.Violations))
+	fmt.Printf("seed %d: %d requests served, %d failed, %d routing tables, %d second answers, %d violated guarantees\n", r.Seed, r.Served, r.Failed, r.Tables, r.SecondAnswers, len(r.Violations))
 	for _, b := range r.Violations {
 		fmt.Println("  " + b)
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -36,9 +36,9 @@
 		case 0:
 			f.write(ctx, client, h, q)
 		case 1:
-			f.read(ctx, client, h, q)
+			f.ask(ctx, client, h, q, f.read, r)
 		default:
-			f.search(ctx, client, h, q)
+			f.ask(ctx, client, h, q, f.search, r)
 		}
 		pause(ctx, time.Duration(5+r.IntN(30))*time.Millisecond)
 	}
@@ -87,7 +87,7 @@
 	return response{status: resp.StatusCode, header: resp.Header, body: b}
 }
 
-func (f *Fleet) search(ctx context.Context, client *http.Client, h *host, q sending) {
+func (f *Fleet) search(ctx context.Context, client *http.Client, h *host, q sending) response {
 	a := f.request(ctx, client, h, http.MethodGet, "/search/", q, nil)
 	f.checkResponse(h, q, a, f.shardServices()...)
 	if a.status == http.StatusOK {
@@ -97,13 +97,15 @@
 			f.checker.report("response to %s: %d shards present, %d reported missing: %v", q, n, missing, err)
 		}
 	}
+	return a
 }
 
 // read sends an idempotent request to a service that has no shards: the response is the server's own.
-func (f *Fleet) read(ctx context.Context, client *http.Client, h *host, q sending) {
+func (f *Fleet) read(ctx context.Context, client *http.Client, h *host, q sending) response {
 	a := f.request(ctx, client, h, http.MethodGet, "/read/", q, nil)
 	f.checkResponse(h, q, a, deskService)
 	f.checker.checkAnswer(q, a)
+	return a
 }
 
 // write sends a non-idempotent request, which must run at most once.
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -86,18 +86,35 @@
 		s.setState(true, 0)
 		f.afterDelay(d+maxDrainDelay, func() { s.setState(false, 0) })
 	}},
+	{"server stutters", func(f *Fleet, _ *host, d time.Duration) { f.giveHabit(stutters, d, f.randomServer()) }},
+	{allStutter, func(f *Fleet, _ *host, d time.Duration) { f.giveHabit(stutters, d, f.servers...) }},
+	{"server fails", func(f *Fleet, _ *host, d time.Duration) { f.giveHabit(fails, d, f.randomServer()) }},
+	{"server refuses", func(f *Fleet, _ *host, d time.Duration) { f.giveHabit(refuses, d, f.randomServer()) }},
+}
+
+// allStutter is the name of the fault in which every server stutters.
+const allStutter = "all servers stutter"
+
+// giveHabit gives servers a habit for d.
+func (f *Fleet) giveHabit(h habit, d time.Duration, list ...*server) {
+	for _, s := range list {
+		s.addHabit(h, 1)
+		f.afterDelay(d, func() { s.addHabit(h, -1) })
+	}
 }
 
 // injectFaults injects faults for FaultDuration, up to three at once; later ones may overlap earlier ones.
 func (f *Fleet) injectFaults(ctx context.Context) {
+	for _, k := range faultKinds {
+		if k.name == f.First {
+			f.inject(k, f.hosts[0], f.FaultDuration)
+		}
+	}
 	for end := time.Now().Add(f.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		for range 1 + f.rand.IntN(3) {
 			k := faultKinds[f.rand.IntN(len(faultKinds))]
 			h := f.hosts[f.rand.IntN(len(f.hosts))]
-			d := time.Duration(500+f.rand.IntN(3000)) * time.Millisecond
-			_, _ = fmt.Fprintf(f.Out, "%7.3f s  %s, %s, %v\n", time.Since(f.checker.started).Seconds(), k.name, h.id, d)
-			f.checker.markFaulty(d + drainGrace)
-			k.run(f, h, d)
+			f.inject(k, h, time.Duration(500+f.rand.IntN(3000))*time.Millisecond)
 		}
 		pause(ctx, time.Duration(100+f.rand.IntN(1500))*time.Millisecond)
 	}
@@ -105,6 +122,12 @@
 	pause(ctx, drainGrace)
 }
 
+func (f *Fleet) inject(k faultKind, h *host, d time.Duration) {
+	_, _ = fmt.Fprintf(f.Out, "%7.3f s  %s, %s, %v\n", time.Since(f.checker.started).Seconds(), k.name, h.id, d)
+	f.checker.markFaulty(d + drainGrace)
+	k.run(f, h, d)
+}
+
 func (f *Fleet) randomServer() *server { return f.servers[f.rand.IntN(len(f.servers))] }
 
 // afterDelay calls end, which ends a fault, after d or when the run ends.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -52,6 +52,8 @@
 	Hosts, Disks int
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// First is the name of a fault that lasts from the start of the faults to their end; it may be empty.
+	First string
 	// Out receives one line per injected fault.
 	Out io.Writer
 
@@ -245,7 +247,6 @@
 		s.relay.setFault(Fault{})
 		s.relay.reset()
 		s.setState(false, 0)
-		s.setHabits(func(h *habits) { *h = habits{} })
 	}
 }
 
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -38,7 +38,7 @@
 	drainedBy time.Time
 	listener  net.Listener
 	conns     map[net.Conn]bool
-	habits    habits
+	habits    [habits]int
 	rand      *rand.Rand
 	stop      chan struct{}
 	wait      sync.WaitGroup
--- a/internal/soak/stutter.go
+++ b/internal/soak/stutter.go
@@ -19,16 +19,22 @@
 	maxLateness = 10 * time.Millisecond
 )
 
-// habits are the ways in which a server treats a share of its requests. A server that stutters fails some too: only then
-// do its second answers differ from what a caller may get.
-type habits struct {
-	fails, refuses, stutters bool
-}
+// habit is a way in which a server treats a share of its requests. A server that stutters fails some too: only then do
+// its second answers differ from what a caller may get.
+type habit int
 
-func (s *server) setHabits(set func(h *habits)) {
+const (
+	fails habit = iota
+	refuses
+	stutters
+	habits
+)
+
+// addHabit adds n faults that give a server a habit, which lasts until all of them have ended.
+func (s *server) addHabit(h habit, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	set(&s.habits)
+	s.habits[h] += n
 }
 
 // servicePlan is how a server treats one request.
@@ -46,11 +52,11 @@
 	s.endlessKind++
 	p := servicePlan{status: http.StatusOK, delay: s.delay, endless: s.endless, endlessKind: s.endlessKind}
 	p.afterDrain = !s.drainedBy.IsZero() && time.Now().After(s.drainedBy)
-	switch h := s.habits; {
+	switch {
 	case p.endless:
-	case h.refuses && percent(s.rand, refusePercent):
+	case s.habits[refuses] > 0 && percent(s.rand, refusePercent):
 		p.status = http.StatusServiceUnavailable
-	case (h.fails || h.stutters) && percent(s.rand, failPercent):
+	case s.habits[fails]+s.habits[stutters] > 0 && percent(s.rand, failPercent):
 		p.status = http.StatusInternalServerError
 		if method == http.MethodGet && percent(s.rand, 50) {
 			p.status = http.StatusNotFound
@@ -76,7 +82,7 @@
 func (s *server) second(first reply) (out reply, m moment, late time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.habits.stutters || !percent(s.rand, stutterPercent) {
+	if s.habits[stutters] == 0 || !percent(s.rand, stutterPercent) {
 		return reply{}, momentNever, 0
 	}
 	s.checker.recordSecond()
--- a/internal/soak/stutter_test.go
+++ b/internal/soak/stutter_test.go
@@ -24,7 +24,7 @@
 	s := &server{id: "d", service: deskService, control: []string{"127.0.0.1:1"}, checker: newChecker(), rand: rand.New(rand.NewPCG(1, 1))}
 	require.NoError(t, s.start("127.92.251.1"))
 	defer s.close()
-	s.setHabits(func(h *habits) { h.stutters = true })
+	s.addHabit(stutters, 1)
 	type exchange struct {
 		conn  net.Conn
 		in    *bufio.Reader
