--- a/internal/conn/own_test.go
+++ b/internal/conn/own_test.go
@@ -21,8 +21,10 @@
 func TestCallsBetweenNodesGetTheirOwnAnswers(t *testing.T) {
 	const (
 		workers, rounds = 8, 50
-		late            = 20 * time.Millisecond
+		patience        = 10 * time.Millisecond
 	)
+	// gone holds a channel for each late call, which is closed once the caller has given up.
+	var gone sync.Map
 	kinds := []string{"once", "twice", "late", "never", "cut", "damaged"}
 	from, _, to := newPair(t, func(_ context.Context, s *Stream) {
 		var p payload
@@ -39,7 +41,8 @@
 		case "twice":
 			_ = s.write(whole)
 		case "late":
-			time.Sleep(late)
+			left, _ := gone.Load(string(p.Data))
+			<-left.(chan struct{})
 		case "never":
 			return
 		case "cut":
@@ -55,14 +58,17 @@
 			for n := range rounds {
 				kind := kinds[(w+n)%len(kinds)]
 				sent := payload{fmt.Appendf(nil, "%s %d/%d", kind, w, n)}
+				left := make(chan struct{})
+				gone.Store(string(sent.Data), left)
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 				if kind == "late" {
 					cancel()
-					ctx, cancel = context.WithTimeout(context.Background(), late/2)
+					ctx, cancel = context.WithTimeout(context.Background(), patience)
 				}
 				var got payload
 				err := from.Call(ctx, to, KindQuery, sent, &got)
 				cancel()
+				close(left)
 				if wantErr := kind != "once" && kind != "twice"; wantErr != (err != nil) {
 					t.Errorf("%s: %v", sent.Data, err)
 				}
