--- a/internal/conn/splice.go
+++ b/internal/conn/splice.go
@@ -14,9 +14,9 @@
 const (
 	// protocolPrefix begins each status line.
 	protocolPrefix = "HTTP/1."
-	// peekBytes is how much of what follows an answer is looked at: a usual head.
+	// peekBytes is how many of the bytes that follow an answer are looked at: a usual head.
 	peekBytes = 512
-	// maxHeadScan is how much of a possible head in a body is searched for an ID, maxHeadScans how often.
+	// maxHeadScan is how many bytes of a possible head in a body are searched for an ID, maxHeadScans how many heads.
 	maxHeadScan  = 1 << 10
 	maxHeadScans = 1 << 10
 )
--- a/internal/conn/splice_test.go
+++ b/internal/conn/splice_test.go
@@ -24,8 +24,8 @@
 	return a, err
 }
 
-// TestCutAnswerIsNotCompletedByTheNextOne has a server break off after every byte of an answer, and send a second answer on the
-// same connection. What is returned must be one of the two, whole.
+// TestCutAnswerIsNotCompletedByTheNextOne has a server break off after every byte of an answer's head, and at
+// many places of its body, and send a second answer on the same connection. What is returned must be one of the two, whole.
 func TestCutAnswerIsNotCompletedByTheNextOne(t *testing.T) {
 	names := directNames
 	names.Signature = "X-Signature"
--- a/internal/conn/stray.go
+++ b/internal/conn/stray.go
@@ -7,9 +7,9 @@
 
 // Kinds of strays.
 const (
-	// StrayOther is an answer with the ID of another request.
+	// StrayOther is an answer that names another request, or a signed one that names none.
 	StrayOther StrayKind = "other"
-	// StrayUnnamed is an answer without an ID that may belong to another request.
+	// StrayUnnamed is an unsigned answer without an ID, which may belong to another request.
 	StrayUnnamed StrayKind = "unnamed"
 	// StraySpliced is an answer that was cut and goes on with another one.
 	StraySpliced StrayKind = "spliced"
--- a/internal/proc/reach/reach.go
+++ b/internal/proc/reach/reach.go
@@ -100,7 +100,7 @@
 	return s != nil && s.lost(now)
 }
 
-// Broken reports whether no connection to a server could be established lately, or all broke.
+// Broken reports whether the last connections to a server could not be established, or broke.
 func (b *Board) Broken(id tier.ServerID) bool {
 	s := b.servers[id]
 	return s != nil && s.failures >= minFailures
