vers, reqst: tenants with keys

Cause: on a table with tenants, hosts passed the caller's key on to servers and served requests without a key. Change: tables hold tenants; the first host looks up the key, refuses an unknown one with 401, removes key and tenant headers and names the tenant to servers; a relayed request carries the tenant's name. Hooks for the currency proof and for quotas.

--- a/internal/conn/outgoing.go
+++ b/internal/conn/outgoing.go
@@ -57,6 +57,9 @@
 	return &Outgoing{ID: id, Method: method, Head: b, Body: body, Names: names}
 }
 
+// AddHeader adds a header that is the same for all servers.
+func (o *Outgoing) AddHeader(name, value string) { o.Head = appendField(o.Head, name, value) }
+
 func appendField(b []byte, k, v string) []byte {
 	return append(append(append(append(b, k...), ": "...), v...), "\r\n"...)
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -30,6 +30,8 @@
 	// if the request was counted at another node before.
 	Attempts int  `cbor:"10,keyasint,omitempty"`
 	Repeat   bool `cbor:"11,keyasint,omitempty"`
+	// Tenant is the caller's tenant; the key stays at the first node.
+	Tenant tier.Tenant `cbor:"12,keyasint,omitempty"`
 }
 
 // relayReply is the answer to a relayRequest.
@@ -58,7 +60,7 @@
 	defer stop()
 	w := relayRequest{
 		ID: in.ID, Method: in.Method, Target: in.Target, Path: in.Path, Host: in.Host, Header: in.Header, Body: in.Body,
-		LeftMs: tier.ToMillis(in.TimeLeft), Routes: in.RoutesVersion, Attempts: in.Attempts, Repeat: in.Repeat,
+		LeftMs: tier.ToMillis(in.TimeLeft), Routes: in.RoutesVersion, Attempts: in.Attempts, Repeat: in.Repeat, Tenant: in.Tenant,
 	}
 	if err := s.Send(w); err != nil {
 		return reqst.Outbound{}, tier.At("send request", string(id), err)
@@ -90,6 +92,7 @@
 	out := n.forwarder.Forward(ctx, &reqst.Inbound{
 		ID: w.ID, Method: w.Method, Target: w.Target, Path: w.Path, Host: w.Host, Header: w.Header, Body: w.Body, TimeLeft: w.LeftMs.Duration(),
 		Relayed: true, RoutesVersion: w.Routes, Attempts: w.Attempts, Repeat: w.Repeat,
+		Tenant: w.Tenant,
 	})
 	if out.Release != nil {
 		defer out.Release()
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -63,6 +63,8 @@
 	// is set if the request was counted at another node before.
 	Attempts int
 	Repeat   bool
+	// Tenant is the caller's tenant, once its key has been recognized; "" where no key is needed.
+	Tenant tier.Tenant
 }
 
 // Outbound is the answer to a caller.
@@ -120,6 +122,10 @@
 	// GraceLeft returns how much time is left for requests while this node only finishes them before it stops; ok is false
 	// at other times. nil means never.
 	GraceLeft func() (left time.Duration, ok bool)
+	// Proof proves that the keys of the routing table are still valid; nil means that they always are.
+	Proof Proof
+	// Quota holds the tenants' quotas; nil means that there are none.
+	Quota Quota
 	// Self is this node.
 	Self tier.NodeID
 	// RoutesRecent reports whether the routing table is recent enough to say that a route does not
@@ -253,15 +259,23 @@
 	if r == nil {
 		return Outbound{Status: http.StatusNotFound, Reason: tier.ReasonNoRoute}
 	}
+	tenant, refused := d.identify(in, table, r)
+	if refused != nil {
+		return d.refused(r, refused)
+	}
 	if d.outlastsGrace(in, r) {
 		return refusal(tier.ReasonDraining, drainRetryAfter)
 	}
-	f := &forwarding{forwarder: d, route: r, in: in, routesVersion: table.Version, fingerprint: Fingerprint(tier.Service(in.Host+in.Target), in.Body)}
+	f := &forwarding{forwarder: d, route: r, in: in, tenant: tenant, routesVersion: table.Version, fingerprint: Fingerprint(tier.Service(in.Host+in.Target), in.Body)}
 	if hold := d.quarantineRemaining(f.fingerprint); hold > 0 {
 		event.RequestQuarantined.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.fingerprint})
 		return refusal(tier.ReasonQuarantine, hold)
 	}
+	if refused := d.takeQuota(ctx, in, r, tenant); refused != nil {
+		return d.refused(r, refused)
+	}
 	out, done := d.serve(ctx, f, table.Version)
+	d.returnQuota(in, tenant, &out)
 	if done {
 		return out
 	}
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -43,9 +43,11 @@
 	forwarder *Forwarder
 	route     *vers.Route
 	in        *Inbound
-	out       *conn.Outgoing
-	services  []tier.Service
-	kind      pace.Timing
+	// tenant is the caller's tenant, or nil where no key is needed.
+	tenant   *vers.Tenant
+	out      *conn.Outgoing
+	services []tier.Service
+	kind     pace.Timing
 	// An answer after target is worth less to the caller, one after deadline nothing.
 	target        time.Duration
 	deadline      time.Duration
@@ -87,6 +89,9 @@
 	layout, servers := f.layout()
 	f.out = conn.NewOutgoing(&d.Names, f.in.Method, f.in.Target, f.in.Host, f.in.ID, f.in.Header, f.in.Body)
 	f.out.MaxBody = f.maxPartBytes()
+	if f.tenant != nil {
+		f.out.AddHeader(d.Names.Tenant, string(f.tenant.Name))
+	}
 	f.plan = &Plan{Layout: layout, Options: f.planOptions(), Select: f.pickServer, Hedge: f.hedge, Retry: f.spendRetry}
 	f.replies = make(chan *directReply, servers)
 	f.cancels = make(map[int]context.CancelFunc, len(f.services))
--- /dev/null
+++ b/internal/reqst/tenant.go
@@ -0,0 +1,115 @@
+package reqst
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sassafrasring.dev/sassafrasring/internal/vers"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Proof proves that the routing table of this node is recent enough for its keys to be valid.
+type Proof interface {
+	// Valid reports whether requests with keys may be served now.
+	Valid() bool
+}
+
+// Quota holds this node's part of the tenants' quotas.
+type Quota interface {
+	// Take takes one request from a tenant's quota; it may wait up to limit for other nodes.
+	Take(ctx context.Context, n *vers.Tenant, limit time.Duration) QuotaResult
+	// Return gives back the request of an earlier Take that did not run.
+	Return(n *vers.Tenant)
+}
+
+// QuotaResult is the result of Quota.Take. Unless Granted is set, Known tells whether the quota is exhausted or could not be
+// determined, and RetryAfter when to ask again.
+type QuotaResult struct {
+	Granted    bool
+	Known      bool
+	RetryAfter time.Duration
+}
+
+const (
+	// quotaTargetDivisor divides a route's target to give the time in which a request's quota must be determined, at least
+	// minQuotaTime: two calls to other zones, the first of which times out.
+	quotaTargetDivisor = 10
+	minQuotaTime       = 60 * time.Millisecond
+)
+
+// identify returns the tenant of a request, or nil where no key is needed, and removes the caller's key and tenant from the
+// headers. refused is the answer if the request must not be served.
+func (d *Forwarder) identify(in *Inbound, t *vers.Routes, r *vers.Route) (n *vers.Tenant, refused *Outbound) {
+	if !t.Keyed() {
+		return nil, nil
+	}
+	keys := in.Header[d.Names.Credential]
+	delete(in.Header, d.Names.Credential)
+	delete(in.Header, d.Names.Tenant)
+	if r.Public {
+		in.Tenant = ""
+		return nil, nil
+	}
+	switch {
+	case in.Relayed && in.Tenant != "":
+		n = t.Tenant(in.Tenant)
+	case len(keys) == 1:
+		n = t.TenantByKey(keys[0])
+	}
+	if n == nil {
+		return nil, d.unknownKey()
+	}
+	in.Tenant = n.Name
+	if d.Proof != nil && !in.Relayed && !d.Proof.Valid() {
+		out := refusal(tier.ReasonUnproven, shortRetryAfter)
+		return nil, &out
+	}
+	return n, nil
+}
+
+// unknownKey is the answer to a request without a valid key. A node whose table may be outdated cannot say that a key is
+// unknown.
+func (d *Forwarder) unknownKey() *Outbound {
+	if d.RoutesRecent != nil && !d.RoutesRecent() {
+		out := refusal(tier.ReasonNoControl, shortRetryAfter)
+		return &out
+	}
+	return &Outbound{Status: http.StatusUnauthorized, Reason: tier.ReasonKey}
+}
+
+// takeQuota takes a request from its tenant's quota, and returns the refusal if there is nothing left. A relayed request was
+// counted at the first node.
+func (d *Forwarder) takeQuota(ctx context.Context, in *Inbound, r *vers.Route, n *vers.Tenant) *Outbound {
+	if !d.limited(in, n) {
+		return nil
+	}
+	res := d.Quota.Take(ctx, n, max(r.Objective()/quotaTargetDivisor, minQuotaTime))
+	switch {
+	case res.Granted:
+		return nil
+	case res.Known:
+		return &Outbound{Status: http.StatusTooManyRequests, Reason: tier.ReasonQuota, RetryAfter: res.RetryAfter}
+	}
+	out := refusal(tier.ReasonNoQuota, max(shortRetryAfter, res.RetryAfter))
+	return &out
+}
+
+// returnQuota gives back what a request took from its tenant's quota if it has not run.
+func (d *Forwarder) returnQuota(in *Inbound, n *vers.Tenant, out *Outbound) {
+	if d.limited(in, n) && saysNotRun(out.Status) {
+		d.Quota.Return(n)
+	}
+}
+
+func (d *Forwarder) limited(in *Inbound, n *vers.Tenant) bool {
+	return d.Quota != nil && n != nil && n.Rate > 0 && !in.Relayed
+}
+
+// refused counts a request that is refused before any server is chosen.
+func (d *Forwarder) refused(r *vers.Route, out *Outbound) Outbound {
+	d.Stats.Count("requests", r.Name+"/"+strconv.Itoa(out.Status))
+	d.Stats.Count("requests_failed", r.Name+"/"+string(out.Reason))
+	return *out
+}
--- a/internal/vers/document.go
+++ b/internal/vers/document.go
@@ -13,10 +13,11 @@
 
 // document is a routing table file in the native format: JSON with comments.
 type document struct {
-	Version  *RoutesVersion  `json:"version"`
-	Routes   []documentRoute `json:"routes"`
-	Services []documentEntry `json:"services"`
-	Limits   documentLimits  `json:"limits"`
+	Version  *RoutesVersion   `json:"version"`
+	Routes   []documentRoute  `json:"routes"`
+	Services []documentEntry  `json:"services"`
+	Limits   documentLimits   `json:"limits"`
+	Tenants  []documentTenant `json:"tenants"`
 }
 
 type documentRoute struct {
@@ -33,6 +34,15 @@
 	Gather     []tier.Service `json:"gather"`
 	Top        int            `json:"top"`
 	Least      float64        `json:"least"`
+	Public     bool           `json:"public"`
+}
+
+type documentTenant struct {
+	Name     tier.Tenant `json:"name"`
+	Keys     []string    `json:"keys"`
+	Rate     float64     `json:"rate"`
+	Burst    float64     `json:"burst"`
+	Priority *int        `json:"priority"`
 }
 
 type documentPart struct {
@@ -41,9 +51,10 @@
 }
 
 type documentEntry struct {
-	Name   tier.Service `json:"name"`
-	Health string       `json:"health"`
-	Conns  int          `json:"connections"`
+	Name     tier.Service `json:"name"`
+	Health   string       `json:"health"`
+	Conns    int          `json:"connections"`
+	ColdRate float64      `json:"cold"`
 }
 
 type documentLimits struct {
@@ -81,13 +92,23 @@
 	for _, s := range f.Services {
 		t.Backends = append(t.Backends, Backend(s))
 	}
+	if f.Tenants != nil {
+		t.Tenants = make([]Tenant, 0, len(f.Tenants))
+	}
+	for _, n := range f.Tenants {
+		out := Tenant{Name: n.Name, Keys: n.Keys, Rate: n.Rate, Burst: n.Burst, HasPriority: n.Priority != nil}
+		if n.Priority != nil {
+			out.Priority = *n.Priority
+		}
+		t.Tenants = append(t.Tenants, out)
+	}
 	return t, nil
 }
 
 func (r *documentRoute) route() Route {
 	out := Route{
 		Name: r.Name, Host: Hostname(r.Host), Prefix: r.Prefix, Idempotent: r.Idempotent, Timeout: r.Timeout.Duration(),
-		Target: r.Target.Duration(), Priority: r.Priority, Attempts: r.Attempts, Service: r.Service, Gather: r.Gather, Top: r.Top, MinShare: r.Least,
+		Target: r.Target.Duration(), Priority: r.Priority, Attempts: r.Attempts, Service: r.Service, Gather: r.Gather, Top: r.Top, MinShare: r.Least, Public: r.Public,
 	}
 	for _, p := range r.Split {
 		out.Split = append(out.Split, Part(p))
--- a/internal/vers/routes.go
+++ b/internal/vers/routes.go
@@ -49,6 +49,8 @@
 	Top int
 	// MinShare is the minimum share of the Gather services that must answer; with fewer, the request fails.
 	MinShare float64
+	// Public lets requests through without a key where the table has tenants.
+	Public bool
 }
 
 // Objective returns the wanted response time: the target, or the timeout if no
@@ -85,6 +87,9 @@
 	Health string
 	// Conns is the maximum number of connections to one server from all nodes together; 0 means unlimited.
 	Conns int
+	// ColdRate is the number of requests per second that a cold server of the service tolerates from all nodes together; 0 means
+	// that it needs no care.
+	ColdRate float64
 }
 
 // CallerLimits limits the requests of callers; 0 means the default of the settings.
@@ -101,14 +106,20 @@
 	Routes   []Route
 	Backends []Backend
 	Limits   CallerLimits
+	// Tenants are the callers' organizations. Unless it is nil, requests on routes that are not public need a key.
+	Tenants []Tenant
 
 	byHost   map[string][]*Route
 	backends map[tier.Service]*Backend
+	tenants  tenantIndex
 }
 
 // Check validates the table and returns the first error found. A valid table is
 // indexed for Match and Backend.
 func (t *Routes) Check() error {
+	if err := t.tenants.build(t.Tenants); err != nil {
+		return err
+	}
 	t.backends = make(map[tier.Service]*Backend, len(t.Backends))
 	for i := range t.Backends {
 		b := &t.Backends[i]
@@ -118,6 +129,9 @@
 		if t.backends[b.Name] != nil {
 			return errors.Errorf("service %q stands twice", b.Name)
 		}
+		if !validRate(b.ColdRate) {
+			return errors.Errorf("service %q: the rate of cold servers is not a number of 0 or more", b.Name)
+		}
 		t.backends[b.Name] = b
 	}
 	t.byHost = map[string][]*Route{}
--- a/pkg/tier/check.go
+++ b/pkg/tier/check.go
@@ -43,6 +43,19 @@
 // Check reports why the name of a zone cannot be used; it may be empty.
 func (z Zone) Check() error { return checkText("zone", string(z)) }
 
+// Check validates a tenant name. It is sent in a header, so only visible ASCII characters are allowed.
+func (t Tenant) Check() error {
+	if t == "" || len(t) > MaxNameBytes {
+		return errors.Errorf("tenant: 1 to %d bytes are allowed", MaxNameBytes)
+	}
+	for i := range len(t) {
+		if t[i] <= ' ' || t[i] > '~' {
+			return errors.New("tenant: only visible ASCII characters are allowed")
+		}
+	}
+	return nil
+}
+
 func checkText(field, s string) error {
 	switch {
 	case len(s) > MaxNameBytes:
--- a/pkg/tier/headers.go
+++ b/pkg/tier/headers.go
@@ -28,6 +28,10 @@
 	Limit string
 	// Leaving says that a server is about to stop.
 	Leaving string
+	// Credential is the key by which a caller is assigned to a tenant; it goes no further than the host that receives it.
+	Credential string
+	// Tenant is the name of the caller's tenant, which is set for servers.
+	Tenant string
 }
 
 // DefaultHeaders returns the product's own header names.
@@ -35,6 +39,7 @@
 	return HeaderNames{
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Expect: "X-Expect-Server", Server: HeaderServer,
 		Missing: "X-Missing-Parts", NotRun: HeaderNotRun, Load: HeaderLoad, Limit: HeaderLimit, Leaving: HeaderLeaving,
+		Credential: "X-Credential", Tenant: "X-Tenant",
 	}
 }
 
--- a/pkg/tier/ids.go
+++ b/pkg/tier/ids.go
@@ -26,6 +26,9 @@
 // Service names a group of servers that serve the same kind of request.
 type Service string
 
+// Tenant is the name of an organization whose callers share keys and a quota.
+type Tenant string
+
 // Shard is the index of a shard within the layout of a snapshot, from 0.
 type Shard uint16
 
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -41,6 +41,10 @@
 	ReasonRefused     Reason = "connection_refused"
 	ReasonNoRoom      Reason = "no_room"
 	ReasonServerLimit Reason = "server_limit"
+	ReasonKey         Reason = "key"
+	ReasonUnproven    Reason = "unproven"
+	ReasonQuota       Reason = "quota"
+	ReasonNoQuota     Reason = "no_quota"
 )
 
 // QueryRequest is the body of POST /v1/query.
