reqst: whole searches are admitted before the fan-out

Cause: under three times the load goodput halves, because each search that lacks one shard too many has used all others, and its caller asks again. Change: a gate for routes of 30 shards or more learns from servers' queues and the time of searches which share can be served, and refuses the rest at once: by rank, by time left, between tenants by weighted max-min fairness.

--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -11,6 +11,7 @@
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
+	"sassafrasring.dev/sassafrasring/internal/proc/shed"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -24,7 +25,9 @@
 	action      Action
 	careful     bool
 	// gathers is set if the answer is to be a part of a gathered one.
-	gathers  bool
+	gathers bool
+	// gate is told what the server reports; nil if the route has none.
+	gate     *shed.Gate
 	sent     time.Duration
 	deadline time.Duration
 	// born is the start of the server to which the sub-request was sent.
@@ -80,12 +83,17 @@
 	case rep.Result == conn.ResultDone:
 		b.RecordAnswer(now, id, ratio)
 		d.suspects.Clear(a.fingerprint)
-		b.RecordLoad(now, id, parseLoad(rep.answer.Header.Get(d.Names.Load)))
+		load := parseLoad(rep.answer.Header.Get(d.Names.Load))
+		b.RecordLoad(now, id, load)
+		a.reportQueue(now, load)
 		if !a.action.Hedge {
 			d.latencyMedian(a.route).Add(took)
 		}
 	case rep.Reason == tier.ReasonShed || rep.Reason == tier.ReasonRefused:
 		b.RecordRefusal(now, id)
+		if a.gate != nil {
+			a.gate.Refused(now, int(a.action.Shard))
+		}
 	case rep.Reason == tier.ReasonServerError || rep.Reason == tier.ReasonTruncated:
 		b.RecordError(now, id)
 	case rep.Reason == tier.ReasonCanceled || rep.Reason == tier.ReasonNoRoom:
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -13,6 +13,7 @@
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
 	"sassafrasring.dev/sassafrasring/internal/proc/reach"
+	"sassafrasring.dev/sassafrasring/internal/proc/shed"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/proc/work"
@@ -135,12 +136,14 @@
 	mu             sync.Mutex
 	extraBudgets   map[tier.Service]*ExtraBudget
 	latencyMedians map[string]*pace.Median
-	minShare       WindowMin
-	started        time.Duration
-	failureLog     event.Limit
-	suspects       Suspects
-	terms          terms.Table
-	reach          reach.Board
+	// gates admit searches, by the first of their services.
+	gates      map[tier.Service]*shed.Gate
+	minShare   WindowMin
+	started    time.Duration
+	failureLog event.Limit
+	suspects   Suspects
+	terms      terms.Table
+	reach      reach.Board
 	// reachUpdated is when UpdateReach was last called.
 	reachUpdated time.Duration
 	relays       relayPeers
@@ -165,6 +168,7 @@
 	d.base = ctx
 	d.extraBudgets = map[tier.Service]*ExtraBudget{}
 	d.latencyMedians = map[string]*pace.Median{}
+	d.gates = map[tier.Service]*shed.Gate{}
 	d.started, d.minShare = d.Clock.Now(), WindowMin{Window: d.Budget.Window}
 	d.Board.Start()
 	d.startTerms()
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -7,6 +7,7 @@
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
+	"sassafrasring.dev/sassafrasring/internal/proc/shed"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -49,9 +50,13 @@
 	services []tier.Service
 	kind     pace.Timing
 	// An answer after target is worth less to the caller, one after deadline nothing.
-	target        time.Duration
-	deadline      time.Duration
-	plan          *Plan
+	target   time.Duration
+	deadline time.Duration
+	plan     *Plan
+	// gate admits the searches of the route; nil if all are.
+	gate *shed.Gate
+	// coveredAt is when the plan had the shards that the answer needs; 0 before.
+	coveredAt     time.Duration
 	replies       chan *directReply
 	cancels       map[int]context.CancelFunc
 	lastAnswer    *conn.Answer
@@ -95,6 +100,9 @@
 	f.plan = &Plan{Layout: layout, Options: f.planOptions(), Select: f.pickServer, Hedge: f.hedge, Retry: f.spendRetry}
 	f.replies = make(chan *directReply, servers)
 	f.cancels = make(map[int]context.CancelFunc, len(f.services))
+	if refused := f.askGate(now); refused != nil {
+		return *refused
+	}
 	if f.lateShards = f.countLateShards(now, layout); len(layout.Shards)-f.lateShards < max(1, f.plan.Options.MinShards) {
 		return refusal(tier.ReasonOverload, shortRetryAfter)
 	}
@@ -107,6 +115,7 @@
 	f.perform(now, f.plan.Start(now))
 	f.loop(ctx)
 	f.cancelOpen(ctx)
+	f.tellGate(ctx)
 	return f.answer()
 }
 
@@ -291,6 +300,7 @@
 			now := clock.Now()
 			f.recordReply(now, r)
 			f.perform(now, f.plan.Reply(now, r.Reply))
+			f.noteCovered(now)
 		case <-timer.C:
 			now := clock.Now()
 			f.perform(now, f.plan.Tick(now))
@@ -338,7 +348,7 @@
 	f.attempts.sent(now, a)
 	ctx, cancel := context.WithCancel(d.base)
 	f.cancels[a.Attempt] = cancel
-	sub := subRequest{forwarder: d, out: f.out, kind: f.kind, route: f.route.Name, fingerprint: f.fingerprint, action: a, careful: a.Careful || !f.route.Idempotent, gathers: len(f.route.Gather) > 0, sent: now, deadline: f.deadline}
+	sub := subRequest{forwarder: d, out: f.out, kind: f.kind, route: f.route.Name, fingerprint: f.fingerprint, action: a, careful: a.Careful || !f.route.Idempotent, gathers: len(f.route.Gather) > 0, gate: f.gate, sent: now, deadline: f.deadline}
 	replies := f.replies
 	d.Workers.Go(func() {
 		defer cancel()
