pace: fast servers with queues go before slow ones where searches are wide

Cause: the reported queue multiplied a usual time that contained all queues, so that slow servers looked better than fast ones; each of 38 hosts tried a slow server again every few seconds.

--- a/internal/proc/pace/pace.go
+++ b/internal/proc/pace/pace.go
@@ -16,6 +16,9 @@
 	// observationHalfLife is the half-life of the response time average: a slow
 	// server is tried again after a few seconds.
 	observationHalfLife = 1500 * time.Millisecond
+	// wideHalfLife is that half-life where searches go to many shards. Such a search meets the servers that are tried again in all
+	// of its shards, and each of the many hosts of such a fleet tries a slow server again by itself.
+	wideHalfLife = 4500 * time.Millisecond
 	// observationWeight is the weight of a new observation in the moving average;
 	// three in a row dominate it.
 	observationWeight = 0.4
@@ -67,6 +70,7 @@
 	queuePerSlot  float64
 	loadAt        time.Duration
 	slowdown      float64
+	halfLife      time.Duration
 }
 
 // Board holds one node's observations of the servers.
@@ -77,6 +81,10 @@
 	Limit func(tier.ServerID) int
 	// Allowed reports whether a request may be sent to a server now; nil means always.
 	Allowed func(now time.Duration, id tier.ServerID) bool
+	// Wide is set where searches go to many shards. The queue that a server reports then counts in absolute time: while most
+	// servers have queues, the usual time contains them, and a multiple of it makes a fast server with a queue look worse than a
+	// slow one without.
+	Wide bool
 
 	servers map[tier.ServerID]*server
 	pauses  pauses
@@ -102,9 +110,12 @@
 func (b *Board) getOrCreate(id tier.ServerID) *server {
 	s := b.servers[id]
 	if s == nil {
-		s = &server{ratio: 1}
+		s = &server{ratio: 1, halfLife: observationHalfLife}
 		b.servers[id] = s
 	}
+	if b.Wide {
+		s.halfLife = wideHalfLife
+	}
 	return s
 }
 
@@ -161,7 +172,7 @@
 
 // currentRatio returns the average ratio, decayed towards 1.
 func (s *server) currentRatio(now time.Duration) float64 {
-	return 1 + (s.ratio-1)*math.Exp2(-float64(now-s.ratioAt)/float64(observationHalfLife))
+	return 1 + (s.ratio-1)*math.Exp2(-float64(now-s.ratioAt)/float64(s.halfLife))
 }
 
 // expectedRatio combines the observed ratio with the slowdown that the server reported.
@@ -217,11 +228,16 @@
 func (b *Board) Cost(now time.Duration, k Timing, c tier.Candidate) time.Duration {
 	cost := float64(k.Base)
 	if s := b.servers[c.Server]; s != nil {
-		wait := float64(s.inFlight) / 4
+		queue := 0.0
 		if now-s.loadAt < loadMaxAge {
-			wait += s.queuePerSlot
+			queue = s.queuePerSlot
+		}
+		cost *= s.expectedRatio(now)
+		if b.Wide {
+			cost = max(cost, float64(k.Quick)*(1+queue))
+			queue = 0
 		}
-		cost *= s.expectedRatio(now) * (1 + wait)
+		cost *= 1 + queue + float64(s.inFlight)/4
 		cost += s.currentFailureRate(now) * float64(k.Target) / failureCostDivisor
 		if now < s.fullUntil {
 			cost += 2 * float64(k.Base)
--- a/internal/proc/pace/pace_test.go
+++ b/internal/proc/pace/pace_test.go
@@ -193,3 +193,25 @@
 	cost := b.Cost(time.Second, kind, servers[0])
 	require.LessOrEqual(t, cost, maxRatio*kind.Base, "a false report must have a bounded effect")
 }
+
+// TestFastServerWithQueueIsPreferred: guards against requests to slow servers while the fast ones have short queues and the usual
+// time has grown by the queues of all. A host that sends searches to many shards also remembers a slow server for longer.
+func TestFastServerWithQueueIsPreferred(t *testing.T) {
+	k := Timing{Base: 60 * time.Millisecond, Quick: 20 * time.Millisecond, Target: 300 * time.Millisecond}
+	for _, c := range []struct {
+		wide bool
+		want int
+	}{{false, 1}, {true, 0}} {
+		b := &Board{Wide: c.wide}
+		b.Start()
+		for range 5 {
+			b.RecordAnswer(0, "fast", 2)
+			b.RecordAnswer(0, "slow", 4)
+		}
+		b.RecordLoad(0, "fast", Load{Running: 4, Waiting: 12, Slots: 4})
+		list := []tier.Candidate{{Server: "fast"}, {Server: "slow"}}
+		require.Equal(t, c.want, b.Pick(0, k, list), "wide: %v", c.wide)
+		remembered := b.Cost(3*time.Second, k, list[1]) > 2*k.Base
+		require.Equal(t, c.wide, remembered, "wide: %v", c.wide)
+	}
+}
