shed: late searches are the evidence, and only whole deficits refuse

Change: a gate closes only while a fifth of the searches has its shards after three quarters of the time; the fractions of refused requests are carried over.

--- a/internal/proc/shed/gate.go
+++ b/internal/proc/shed/gate.go
@@ -21,13 +21,18 @@
 	// decides when a search ends, has several times the mean. wantedDecisive is that of the shard that decides when a search ends.
 	wantedMean     = 0.5
 	wantedDecisive = 1.0
-	// wantedTime is the share of the time until its target that a search may need on average until it has the shards that it
-	// needs. Queues that do not delay searches that much are no reason to refuse any: a few servers may be slow, or pause.
-	wantedTime = 0.3
+	// wantedLate is the share of searches that may get the shards that they need late. Queues that delay no more searches than
+	// that are no reason to refuse any: a few servers may be slow, or pause. One late search of a host with few does not reach it.
+	wantedLate = 0.2
+	// lateFrom is the share of the time until its target from which on a search counts as late: the queues must shrink before
+	// searches miss their targets.
+	lateFrom = 0.75
 	// shardWeight is the weight of a report in the average of its shard, shardHalfLife the half-life of that average.
 	shardWeight   = 0.25
-	timeWeight    = 0.25
 	shardHalfLife = 400 * time.Millisecond
+	// searchWeight is the weight of a search in the average of late ones, lateHalfLife the half-life of that average.
+	searchWeight = 0.15
+	lateHalfLife = 2 * time.Second
 	// fullQueue is the queue per slot that stands for a refused request, and the most that one report counts.
 	fullQueue = 4.0
 	// maxCut bounds the relative reduction of the share in one step, recovery is its increase in one step without a queue:
@@ -44,9 +49,6 @@
 	maxRank = 8
 )
 
-// FailedTime is the time of a search that did not get the shards that it needs, as a share of the time until its target.
-const FailedTime = 1.5
-
 // Gate admits a share of the searches over one group of shards: all of them while the servers' queues are short. All nodes
 // learn from the reports of the same servers, so that they refuse alike without telling each other.
 type Gate struct {
@@ -71,10 +73,11 @@
 // level is the state of the requests whose answers may lack the same number of shards.
 type level struct {
 	share float64
-	// time is the average time of searches as a share of the time until their targets.
-	time average
-	// credits carry the fractions of admitted requests over, by weight, so that the share holds with few requests too.
-	credits [maxRank + lateWeight]float64
+	// late is the share of searches that had the shards that they need late, or not at all.
+	late average
+	// deficits carry the fractions of refused requests over, by weight, so that the share holds with few requests too, and a share
+	// that is short of 1 for a moment refuses none.
+	deficits [maxRank + lateWeight]float64
 }
 
 // average is a moving average that decays to 0.
@@ -83,14 +86,14 @@
 	at    time.Duration
 }
 
-func (a *average) add(now time.Duration, v, weight float64) {
-	old := a.current(now)
+func (a *average) add(now time.Duration, v, weight float64, halfLife time.Duration) {
+	old := a.current(now, halfLife)
 	a.value, a.at = old+(v-old)*weight, now
 }
 
-// current returns the average, which halves in each shardHalfLife without a report.
-func (a *average) current(now time.Duration) float64 {
-	return a.value * math.Exp2(-float64(now-a.at)/float64(shardHalfLife))
+// current returns the average, which halves in each half-life without a report.
+func (a *average) current(now, halfLife time.Duration) float64 {
+	return a.value * math.Exp2(-float64(now-a.at)/float64(halfLife))
 }
 
 // Request is a search that asks for admission.
@@ -118,17 +121,23 @@
 	g.sum += queue
 	g.reports++
 	if shard < len(g.shards) {
-		g.shards[shard].add(now, queue, shardWeight)
+		g.shards[shard].add(now, queue, shardWeight, shardHalfLife)
 	}
 }
 
 // Refused records that a server of a shard refused a request for lack of room.
 func (g *Gate) Refused(now time.Duration, shard int) { g.Queue(now, shard, fullQueue) }
 
-// Finished records the time that an admitted search needed until it had the shards that it needs, as a share of the time until
-// its target; FailedTime if it did not get them.
+// FailedTime is the time of a search that did not get the shards that it needs.
+const FailedTime = math.MaxFloat64
+
+// Finished records when an admitted search had the shards that it needs, as a share of the time until its target.
 func (g *Gate) Finished(now time.Duration, spare int, share float64) {
-	g.level(spare).time.add(now, min(share, FailedTime), timeWeight)
+	v := 0.0
+	if share > lateFrom {
+		v = 1
+	}
+	g.level(spare).late.add(now, v, searchWeight, lateHalfLife)
 }
 
 // step corrects the levels by the reports since the last step.
@@ -145,13 +154,13 @@
 	g.sum, g.reports = 0, 0
 	g.sorted = g.sorted[:0]
 	for i := range g.shards {
-		g.sorted = append(g.sorted, g.shards[i].current(now))
+		g.sorted = append(g.sorted, g.shards[i].current(now, shardHalfLife))
 	}
 	sort.Float64s(g.sorted)
 	for spare, l := range g.levels {
 		decisive := g.sorted[max(0, len(g.sorted)-1-spare)]
 		queues := max(mean/wantedMean, decisive/wantedDecisive)
-		l.correct(min(queues, l.time.current(now)/wantedTime))
+		l.correct(min(queues, l.late.current(now, lateHalfLife)/wantedLate))
 		if steps > 1 {
 			l.share = min(1, l.share+recovery*float64(steps-1))
 		}
@@ -194,15 +203,16 @@
 	if r.Tenant != "" {
 		share = g.tenants.ask(now, r.Tenant, r.Weight, share)
 	}
+	deficit := &g.level(r.Spare).deficits[weight-1]
 	if share == 1 {
+		*deficit = 0
 		return true
 	}
-	credit := &g.level(r.Spare).credits[weight-1]
-	if *credit += math.Pow(share, float64(weight)); *credit < 1 {
-		return false
+	if *deficit += 1 - math.Pow(share, float64(weight)); *deficit < 1 {
+		return true
 	}
-	*credit--
-	return true
+	*deficit--
+	return false
 }
 
 // rankMemory is how long a rank counts as present after a request of it.
--- a/internal/reqst/gate.go
+++ b/internal/reqst/gate.go
@@ -61,17 +61,17 @@
 	}
 }
 
-// tellGate tells the gate how long the search took. Requests that came late, those whose caller left, and failures for other
-// reasons than the servers' load tell nothing.
+// tellGate tells the gate when the search had the shards that it needs. Requests that came late, those whose caller left, and
+// failures for other reasons than the servers' load tell nothing.
 func (f *forwarding) tellGate(ctx context.Context) {
-	began, due := f.attempts.start, f.answerDue()
-	if f.gate == nil || ctx.Err() != nil || due-began < f.route.Objective()/rejectDivisor {
+	allowed := f.answerDue() - f.attempts.start
+	if f.gate == nil || ctx.Err() != nil || allowed < f.route.Objective()/rejectDivisor {
 		return
 	}
 	share := shed.FailedTime
 	switch {
 	case f.coveredAt > 0:
-		share = float64(f.coveredAt-began) / float64(due-began)
+		share = float64(f.coveredAt-f.attempts.start) / float64(allowed)
 	case !f.plan.Overloaded():
 		return
 	}
