stats, reqst: metrics by tenant, a log line for early refusals

Cause: requests of tenants could not be told apart in metrics, and a request refused before any server was chosen left only a counter. Change: counters and a latency histogram for the 32 tenants with the most requests, one label for the rest; event 345 with request, route, tenant, status and reason, at most 20 a second, and 20 for unknown keys; lines of failed and sampled requests name the tenant. Neither holds a key.

--- a/internal/proc/stats/registry.go
+++ b/internal/proc/stats/registry.go
@@ -28,6 +28,7 @@
 	counters     metrics.Registry
 	counterCount int
 	histograms   map[string]*Histogram
+	tenants      busiest
 }
 
 // NewRegistry returns an empty registry.
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -138,6 +138,7 @@
 	minShare       WindowMin
 	started        time.Duration
 	failureLog     event.Limit
+	refusalLogs    refusalLogs
 	suspects       Suspects
 	terms          terms.Table
 	reach          reach.Board
@@ -261,7 +262,7 @@
 	}
 	tenant, refused := d.identify(in, table, r)
 	if refused != nil {
-		return d.refused(r, refused)
+		return d.refused(in, r, refused)
 	}
 	if d.outlastsGrace(in, r) {
 		return refusal(tier.ReasonDraining, drainRetryAfter)
@@ -271,11 +272,18 @@
 		event.RequestQuarantined.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.fingerprint})
 		return refusal(tier.ReasonQuarantine, hold)
 	}
+	var began time.Duration
+	if tenant != nil {
+		began = d.Clock.Now()
+	}
 	if refused := d.takeQuota(ctx, in, r, tenant); refused != nil {
-		return d.refused(r, refused)
+		return d.refused(in, r, refused)
 	}
 	out, done := d.serve(ctx, f, table.Version)
 	d.returnQuota(in, tenant, &out)
+	if tenant != nil {
+		d.countTenant(in, r, &out, d.Clock.Now()-began)
+	}
 	if done {
 		return out
 	}
--- a/internal/reqst/relay.go
+++ b/internal/reqst/relay.go
@@ -208,9 +208,9 @@
 		d.Stats.Count("log_lines_dropped", "failures")
 		return
 	}
-	event.RequestFailed.Log(d.Log, nil, logrus.Fields{
+	event.RequestFailed.Log(d.Log, nil, withTenant(in, logrus.Fields{
 		"request": in.ID, "route": r.Name, "status": out.Status, "reason": out.Reason, "took_ms": took.Milliseconds(), "relays": peers,
-	})
+	}))
 }
 
 // spendRepeats spends one extra sub-request of each service from the budget; it returns false if one has none left.
--- a/internal/reqst/tenant.go
+++ b/internal/reqst/tenant.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -106,10 +105,3 @@
 func (d *Forwarder) limited(in *Inbound, n *vers.Tenant) bool {
 	return d.Quota != nil && n != nil && n.Rate > 0 && !in.Relayed
 }
-
-// refused counts a request that is refused before any server is chosen.
-func (d *Forwarder) refused(r *vers.Route, out *Outbound) Outbound {
-	d.Stats.Count("requests", r.Name+"/"+strconv.Itoa(out.Status))
-	d.Stats.Count("requests_failed", r.Name+"/"+string(out.Reason))
-	return *out
-}
--- a/internal/reqst/tenant_test.go
+++ b/internal/reqst/tenant_test.go
@@ -1,11 +1,14 @@
 package reqst
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -41,16 +44,17 @@
 		relayed tier.Tenant
 		status  int
 		tenant  tier.Tenant
+		counted bool
 	}{
-		{name: "known key", keys: []string{"k1"}, status: 200, tenant: "one"},
-		{name: "another tenant's name is not believed", keys: []string{"k1"}, claimed: "two", status: 200, tenant: "one"},
+		{name: "known key", keys: []string{"k1"}, status: 200, tenant: "one", counted: true},
+		{name: "another tenant's name is not believed", keys: []string{"k1"}, claimed: "two", status: 200, tenant: "one", counted: true},
 		{name: "unknown key", keys: []string{"k3"}, claimed: "one", status: 401},
 		{name: "no key", claimed: "one", status: 401},
 		{name: "two keys", keys: []string{"k1", "k1"}, status: 401},
 		{name: "unknown key on a host that hears of no other", keys: []string{"k3"}, alone: true, status: 503},
 		{name: "public route", keys: []string{"k1"}, claimed: "two", public: true, status: 200},
 		{name: "public route without a proof", public: true, expired: true, status: 200},
-		{name: "known key without a proof", keys: []string{"k1"}, expired: true, status: 503},
+		{name: "known key without a proof", keys: []string{"k1"}, expired: true, status: 503, counted: true},
 		{name: "relayed", relayed: "two", status: 200, tenant: "two"},
 		{name: "relayed, tenant removed since", relayed: "gone", status: 401},
 	} {
@@ -58,6 +62,9 @@
 		d.Names.Credential, d.Names.Tenant = "Credential", "Tenant"
 		d.Proof = fixedProof(!c.expired)
 		d.RoutesRecent = func() bool { return !c.alone }
+		var log, metrics bytes.Buffer
+		d.Log = logrus.New()
+		d.Log.SetOutput(&log)
 		table := d.Routes()
 		table.Tenants = []vers.Tenant{{Name: "one", Keys: []string{"k1"}}, {Name: "two", Keys: []string{"k2"}}}
 		table.Routes[0].Public = c.public
@@ -70,7 +77,15 @@
 		if c.status == http.StatusOK {
 			require.Equal(t, c.tenant, in.Tenant, c.name)
 			require.Empty(t, in.Header, c.name)
+		} else {
+			require.Contains(t, log.String(), "event=345", c.name)
+			require.Contains(t, log.String(), "reason="+string(out.Reason), c.name)
 		}
+		require.NoError(t, d.Stats.WriteText(&metrics))
+		for _, key := range c.keys {
+			require.NotContains(t, log.String()+metrics.String(), key, c.name)
+		}
+		require.Equal(t, c.counted, strings.Contains(metrics.String(), `tenant_requests_total{label="one/`), c.name)
 	}
 }
 
--- a/internal/reqst/trail.go
+++ b/internal/reqst/trail.go
@@ -120,9 +120,9 @@
 		e = event.RequestFailed
 	}
 	done, missing, hedges := f.plan.Counts()
-	e.Log(d.Log, nil, logrus.Fields{
+	e.Log(d.Log, nil, withTenant(f.in, logrus.Fields{
 		"request": f.in.ID, "route": f.route.Name, "table": f.routesVersion, "status": out.Status, "reason": out.Reason,
 		"took_ms": (now - f.attempts.start).Milliseconds(), "left_ms": (f.deadline - now).Milliseconds(), "base_ms": f.kind.Base.Milliseconds(),
 		"late": late, "parts": done, "missing": missing, "behind": f.lateShards, "hedges": hedges, "tries": f.attempts.describeProblems(now, time.Duration(hedgeEarlyFactor*float64(f.kind.Base))),
-	})
+	}))
 }
