--- a/internal/cmdln/losses.go
+++ b/internal/cmdln/losses.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 const (
@@ -42,23 +44,28 @@
 
 func lossesCommand(o *options) *cobra.Command {
 	var window time.Duration
+	var tenant string
 	cmd := &cobra.Command{
 		Use: "losses [LOG...]", Short: "Summarize where requests were lost, from the logs of many nodes",
 		Long: "Print, for each route, how many requests failed, were refused or late, or lacked parts, and why the\n" +
 			"sub-requests behind them did not count. Nodes log all failed and late requests, up to 20 per second\n" +
-			"each, and one in 256 others; partial answers are counted among these samples only. Without LOG,\n" +
-			"standard input is read.",
-		Example: "  sassafrasring losses /var/log/sassafrasring/*.log\n  sassafrasring losses --window 2s /var/log/sassafrasring/*.log",
+			"each, as many that are refused before a server is chosen, and one in 256 others; partial answers are\n" +
+			"counted among these samples only. Without LOG, standard input is read.",
+		Example: "  sassafrasring losses /var/log/sassafrasring/*.log\n  sassafrasring losses --window 2s /var/log/sassafrasring/*.log\n  sassafrasring losses --tenant acme /var/log/sassafrasring/*.log",
 		RunE: func(_ *cobra.Command, args []string) error {
 			lines, err := readLogs(args)
 			if err != nil {
 				return err
 			}
+			if tenant != "" {
+				lines = slices.DeleteFunc(lines, func(l logLine) bool { return l.fields["tenant"] != tenant })
+			}
 			list := summarizeLosses(lines, window)
 			return o.show(list, func() error { return o.printLosses(list, window > 0) })
 		},
 	}
 	cmd.Flags().DurationVar(&window, "window", 0, "length of the windows of time to list separately; 0 lists all of the time together")
+	cmd.Flags().StringVar(&tenant, "tenant", "", "only requests of this tenant")
 	return cmd
 }
 
@@ -113,7 +120,7 @@
 	late, _ := l.fields["late"].(bool)
 	missing, _ := l.fields["missing"].(float64)
 	switch {
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusUnauthorized && l.fields["reason"] == string(tier.ReasonKey):
 		return resultRefused
 	case status >= http.StatusInternalServerError:
 		return resultFailed
--- a/internal/cmdln/trace.go
+++ b/internal/cmdln/trace.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
 // maxLineBytes is the maximum length of a log line; reading a log with a longer one fails.
@@ -39,7 +41,7 @@
 			}
 			selected := selectLines(args[0], lines, around)
 			if len(selected) == 0 {
-				return errors.Errorf("no log line for request %q; a node logs one in 256 successful requests, and up to 20 failed ones per second", args[0])
+				return errors.Errorf("no log line for request %q; a node logs one in 256 successful requests, and up to 20 failed and 20 refused ones per second", args[0])
 			}
 			return o.show(selected, func() error { return o.printLines(selected) })
 		},
@@ -120,7 +122,16 @@
 	return false
 }
 
-// printLines prints each line with its event, message and fields, followed by the attempts in "tries".
+// refusalCauses explains the reasons for which a request is refused before any server is chosen.
+var refusalCauses = map[string]string{
+	string(tier.ReasonKey):      "the key is missing, sent twice, or not in the routing table in force",
+	string(tier.ReasonUnproven): "the node could not prove that its routing table is recent; look for events about control shortly before",
+	string(tier.ReasonQuota):    "the tenant's quota was used up on all control hosts",
+	string(tier.ReasonNoQuota):  "no control host said in time what is left of the tenant's quota",
+}
+
+// printLines prints each line with its event, message and fields, followed by the attempts in "tries" and the cause of an early
+// refusal.
 func (o *options) printLines(lines []logLine) error {
 	for _, l := range lines {
 		var rest []string
@@ -134,6 +145,10 @@
 			return err
 		}
 		tries, _ := l.fields["tries"].([]any)
+		reason, _ := l.fields["reason"].(string)
+		if cause := refusalCauses[reason]; cause != "" {
+			tries = append(tries, cause)
+		}
 		for _, t := range tries {
 			if _, err := fmt.Fprintf(o.out, "             %v\n", t); err != nil {
 				return err
