--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -137,13 +137,14 @@
 	extraBudgets   map[tier.Service]*ExtraBudget
 	latencyMedians map[string]*pace.Median
 	// gates admit searches, by the first of their services.
-	gates      map[tier.Service]*shed.Gate
-	minShare   WindowMin
-	started    time.Duration
-	failureLog event.Limit
-	suspects   Suspects
-	terms      terms.Table
-	reach      reach.Board
+	gates       map[tier.Service]*shed.Gate
+	minShare    WindowMin
+	started     time.Duration
+	failureLog  event.Limit
+	refusalLogs refusalLogs
+	suspects    Suspects
+	terms       terms.Table
+	reach       reach.Board
 	// reachUpdated is when UpdateReach was last called.
 	reachUpdated time.Duration
 	relays       relayPeers
@@ -265,7 +266,7 @@
 	}
 	tenant, refused := d.identify(in, table, r)
 	if refused != nil {
-		return d.refused(r, refused)
+		return d.refused(in, r, refused)
 	}
 	if d.outlastsGrace(in, r) {
 		return refusal(tier.ReasonDraining, drainRetryAfter)
@@ -275,11 +276,18 @@
 		event.RequestQuarantined.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.fingerprint})
 		return refusal(tier.ReasonQuarantine, hold)
 	}
+	var began time.Duration
+	if tenant != nil {
+		began = d.Clock.Now()
+	}
 	if refused := d.takeQuota(ctx, in, r, tenant); refused != nil {
-		return d.refused(r, refused)
+		return d.refused(in, r, refused)
 	}
 	out, done := d.serve(ctx, f, table.Version)
 	d.returnQuota(in, tenant, &out)
+	if tenant != nil {
+		d.countTenant(in, r, &out, d.Clock.Now()-began)
+	}
 	if done {
 		return out
 	}
