edge: currency proofs and strict revocation

Change: hosts ask the leader, replicas or lenders for proofs (stream kind proof), refuse requests with keys without one if revocation is strict, are not ready then and are listed only if no host has a proof. Settings revocation.strict and revocation.limit_ms, events 120 and 121. A table replaced while a request is checked does not count as proven.

--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
@@ -17,7 +18,8 @@
 const weakThreshold = 0.5
 
 // Entries returns the addresses that a caller in a zone should use, and for how long: the strong
-// nodes of its zone, else of its region, else of the whole fleet. Only ready nodes are returned.
+// nodes of its zone, else of its region, else of the whole fleet. Only ready nodes are returned, or, if there are none, those
+// that lack only a currency proof.
 func (n *Node) Entries(zone tier.Zone, region tier.Region) ([]string, time.Duration) {
 	return pickEntries(n.gossip.list(), zone, region), n.Settings.AnswerTTL
 }
@@ -40,6 +42,10 @@
 // the region, else all.
 func usableHosts(hosts []spread.Host, region tier.Region) []*spread.Host {
 	all := readyHosts(hosts, func(*spread.Host) bool { return true })
+	if len(all) == 0 {
+		hosts = unprovenAsReady(hosts)
+		all = readyHosts(hosts, func(*spread.Host) bool { return true })
+	}
 	own := readyHosts(hosts, func(h *spread.Host) bool { return h.Region == region })
 	for _, list := range [][]*spread.Host{reachingHosts(own), reachingHosts(all), own} {
 		if len(list) > 0 {
@@ -49,6 +55,16 @@
 	return all
 }
 
+// unprovenAsReady returns the hosts with those as ready that lack only a currency proof: they serve public routes, and all
+// requests as soon as the control group is back.
+func unprovenAsReady(hosts []spread.Host) []spread.Host {
+	out := slices.Clone(hosts)
+	for i := range out {
+		out[i].Ready = out[i].Ready || out[i].Unproven
+	}
+	return out
+}
+
 // reachingHosts leaves out the hosts that are cut off from the servers.
 func reachingHosts(list []*spread.Host) []*spread.Host {
 	var out []*spread.Host
--- a/internal/edge/entries_test.go
+++ b/internal/edge/entries_test.go
@@ -24,6 +24,10 @@
 	leaving[1].State = spread.HostLeaving
 	starting := append([]spread.Host(nil), similar...)
 	starting[0].Ready = false
+	unproven := append([]spread.Host(nil), similar...)
+	unproven[0].Ready, unproven[0].Unproven = false, true
+	allUnproven := append([]spread.Host(nil), unproven...)
+	allUnproven[1].Ready, allUnproven[2].Ready, allUnproven[2].Unproven = false, false, true
 	for _, c := range []struct {
 		name  string
 		hosts []spread.Host
@@ -37,6 +41,8 @@
 		{"hosts of half the strength are not weak", similar, "a", []string{"a1", "a2"}},
 		{"a leaving host is not listed, and the zone has too few others", leaving, "a", []string{"a1", "b1"}},
 		{"a host that is not ready is not listed", starting, "a", []string{"a2", "b1"}},
+		{"a host without a proof is not listed", unproven, "a", []string{"a2", "b1"}},
+		{"no host has a proof: the others do not serve either", allUnproven, "a", []string{"a1", "b1"}},
 		{"another region", similar, "a", []string{"a1", "a2"}},
 		{"an unknown zone", similar, "x", []string{"a1", "a2", "b1"}},
 		{"no hosts", nil, "a", []string{}},
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -89,6 +89,7 @@
 	gossip       *gossip
 	catalog      *catalog
 	forwarder    *reqst.Forwarder
+	currency     *currency
 	workers      *work.Pool
 	table        atomic.Pointer[table]
 	tableChanged chan struct{}
@@ -119,6 +120,7 @@
 	n.grace, n.endGrace = context.WithCancel(context.Background())
 	n.tableChanged = make(chan struct{}, 1)
 	n.workers = &work.Pool{}
+	n.currency = newCurrency(&n.Settings, n.LeaseClock)
 	n.buildLimits()
 	n.catalog = &catalog{
 		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
@@ -145,13 +147,14 @@
 		kindControl: n.serveControl,
 		kindTable:   n.serveTable,
 		kindRelay:   n.serveRelay,
+		kindProof:   n.serveProof,
 	}
 	n.forwarder = &reqst.Forwarder{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
-		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
+		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.routesRecent,
 		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
-		GraceLeft: n.graceLeft,
+		GraceLeft: n.graceLeft, Proof: n.currency,
 	}
 }
 
@@ -275,6 +278,7 @@
 	work.Add(base, &g, n.saveCopies)
 	work.Add(base, &g, n.maintain)
 	work.Add(base, &g, n.watchReach)
+	work.Add(base, &g, n.watchProof)
 	for _, f := range actors {
 		work.Add(base, &g, f)
 	}
@@ -364,8 +368,8 @@
 
 // publishReady publishes in this host's record whether the node serves callers.
 func (n *Node) publishReady() {
-	ready := n.Ready()
-	n.gossip.updateSelf(func(h *spread.Host) { h.Ready = ready })
+	ready, unproven := n.Ready(), n.unproven()
+	n.gossip.updateSelf(func(h *spread.Host) { h.Ready, h.Unproven = ready, unproven })
 }
 
 // watchCurrent publishes whether the node serves callers when its records become current or are no
@@ -391,7 +395,9 @@
 }
 
 // Ready reports whether the node serves callers.
-func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() && n.gossip.current() }
+func (n *Node) Ready() bool {
+	return n.table.Load() != nil && !n.stopping.Load() && n.gossip.current() && !n.unproven()
+}
 
 // Stopping reports whether the node is shutting down.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -146,6 +146,7 @@
 	for service, count := range n.catalog.count() {
 		set("servers_ready", string(service), float64(count))
 	}
+	n.proofGauges()
 	if r := n.replica.Load(); r != nil {
 		ctx, cancel := context.WithTimeout(ctx, opsTimeout)
 		defer cancel()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -71,6 +71,8 @@
 	// process holds at a time; 0 means no bound.
 	Answers   conn.AnswerLimits
 	HeldBytes int64
+	// Revocation configures how soon the removal of a tenant's key holds on all nodes.
+	Revocation Revocation
 }
 
 // CallerLimits are the limits of the callers' listener. Only BodyBytes can be replaced by a routing
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -42,6 +42,8 @@
 	RoutesAccepted     = Event{110, logrus.InfoLevel, "routing table accepted", "The table is committed. Fields: version, index."}
 	SnapshotSent       = Event{111, logrus.InfoLevel, "snapshot sent", "The leader sent its state to a replica that lags behind the log. Fields: peer, index (of the last log entry in the snapshot), config and routes (versions that the snapshot holds)."}
 	SnapshotUnverified = Event{112, logrus.InfoLevel, "snapshot not yet installed", "The leader runs an earlier build, whose snapshot may lack entries that its index covers. The replica installs the leader's next snapshot if that has the same index: about a second later, once no change is under way. Fields: peer, index."}
+	ProofObtained      = Event{120, logrus.InfoLevel, "currency proof obtained", "This node knows again, or for the first time, which routing table is the newest; logged if revocation is strict, or a tenant has a rate. Fields: version (the newest one that is known), table (the version in force here)."}
+	ProofExpired       = Event{121, logrus.WarnLevel, "currency proof expired", "For most of revocation.limit_ms nobody could tell this node which routing table is the newest, or it could not fetch that table. With strict revocation it refuses requests with keys (503, reason unproven) and leaves the list of entries. Fields as in 120."}
 	HubOpened          = Event{109, logrus.InfoLevel, "membership hub opened", "This replica is the leader and collects the membership. Fields: epoch."}
 )
 
@@ -103,7 +105,7 @@
 
 // Catalogue lists every event by number.
 var Catalogue = []Event{
-	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotCreated, SnapshotInstalled, DiskFailed, CommandUnreadable, ConfigAccepted, HubOpened, RoutesAccepted, SnapshotSent, SnapshotUnverified,
+	ReplicaStarted, RoleChanged, ClusterFounded, MembersChanged, SnapshotCreated, SnapshotInstalled, DiskFailed, CommandUnreadable, ConfigAccepted, HubOpened, RoutesAccepted, SnapshotSent, SnapshotUnverified, ProofObtained, ProofExpired,
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
 	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive, RoutesRestored, SeedIgnored,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -51,6 +51,8 @@
 	Mbits float64 `cbor:"14,keyasint,omitempty" json:"mbits,omitempty"`
 	// Cut is set while the host does not reach the servers, though it reaches other hosts.
 	Cut bool `cbor:"15,keyasint,omitempty" json:"cut,omitempty"`
+	// Unproven is set while the host refuses requests with keys, because it does not know whether its table is the newest.
+	Unproven bool `cbor:"16,keyasint,omitempty" json:"unproven,omitempty"`
 }
 
 // Less reports whether o is the newer version of the same host.
--- a/internal/reqst/tenant.go
+++ b/internal/reqst/tenant.go
@@ -62,13 +62,17 @@
 		return nil, d.unknownKey()
 	}
 	in.Tenant = n.Name
-	if d.Proof != nil && !in.Relayed && !d.Proof.Valid() {
+	if d.Proof != nil && !in.Relayed && !d.proven(t) {
 		out := refusal(tier.ReasonUnproven, shortRetryAfter)
 		return nil, &out
 	}
 	return n, nil
 }
 
+// proven reports whether there is a valid proof for a routing table. A proof that is valid may count for a table that has
+// replaced it since the request looked it up, and in which the key is gone.
+func (d *Forwarder) proven(t *vers.Routes) bool { return d.Proof.Valid() && d.Routes() == t }
+
 // unknownKey is the answer to a request without a valid key. A node whose table may be outdated cannot say that a key is
 // unknown.
 func (d *Forwarder) unknownKey() *Outbound {
--- a/internal/setup/edge.go
+++ b/internal/setup/edge.go
@@ -29,6 +29,7 @@
 	Repeats            Repeats       `json:"repeats" doc:"Budget for sub-requests beyond the first of each request, per service over the whole fleet."`
 	Limits             EdgeLimits    `json:"limits" doc:"Limits on callers where the routing table sets none, and limits of the process."`
 	Answers            Answers       `json:"answers" doc:"Limits on servers' answers; one that exceeds them ends its connection."`
+	Revocation         Revocation    `json:"revocation" doc:"How soon the removal of a tenant's key holds."`
 	TLS                TLS           `json:"tls" doc:"Certificate for connections between nodes; empty means a certificate generated at start and no verification, for networks that only the nodes can reach."`
 	Log                Log           `json:"log" doc:"Logs, on standard output."`
 }
@@ -40,6 +41,12 @@
 	WindowMs tier.Millis `json:"window_ms" doc:"Sliding window over which both apply." unit:"ms" allow:"1000 to 600000" default:"10000"`
 }
 
+// Revocation says how soon the removal of a tenant's key holds on nodes that cannot have heard of it.
+type Revocation struct {
+	Strict  bool        `json:"strict" doc:"Whether nodes refuse requests with keys while they do not know that their routing table is the newest. It must be the same on all nodes, like limit_ms." default:"false"`
+	LimitMs tier.Millis `json:"limit_ms" doc:"Time after the acknowledgement of a routing table in which a key that it no longer lists is refused everywhere." unit:"ms" allow:"500 to 3600000" default:"5000"`
+}
+
 // EdgeLimits holds the limits on callers' requests and connections and the memory limit of the process.
 type EdgeLimits struct {
 	BodyBytes   int64       `json:"body_bytes" doc:"Largest request body." unit:"bytes" allow:"1024 to 16777216" default:"8388608"`
@@ -56,8 +63,8 @@
 		LinkPort: 7740, GossipPort: 7741, Tolerance: 1, AnnounceIntervalMs: 1000, GraceMs: 6000, TTLMs: 5000,
 		Repeats: Repeats{Percent: 10, Fixed: 50, WindowMs: 10000},
 		Limits:  EdgeLimits{BodyBytes: 8 << 20, HeaderBytes: 64 << 10, ReadMs: 10000, BodyMs: 30000, IdleMs: 75000},
-		Answers: AnswerDefaults(),
-		Log:     Log{Level: "info", Format: "json"},
+		Answers: AnswerDefaults(), Revocation: Revocation{LimitMs: 5000},
+		Log: Log{Level: "info", Format: "json"},
 	}
 }
 
@@ -124,6 +131,7 @@
 	c.number("limits.idle_ms", int64(s.Limits.IdleMs), 1000, 600000)
 	c.number("limits.memory_mb", int64(s.Limits.MemoryMB), 0, 1<<20)
 	c.answers(s.Answers)
+	c.number("revocation.limit_ms", int64(s.Revocation.LimitMs), 500, 3600000)
 	c.files("tls", s.TLS, s.TLS != (TLS{}))
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
--- a/internal/vers/tenant.go
+++ b/internal/vers/tenant.go
@@ -34,10 +34,13 @@
 type tenantIndex struct {
 	byKey  map[string]*Tenant
 	byName map[tier.Tenant]*Tenant
+	// limited is set if a tenant has a rate.
+	limited bool
 }
 
 // build validates the tenants and indexes them. Errors name tenants by name and never contain a key.
 func (x *tenantIndex) build(list []Tenant) error {
+	x.limited = false
 	x.byKey, x.byName = make(map[string]*Tenant, len(list)), make(map[tier.Tenant]*Tenant, len(list))
 	for i := range list {
 		n := &list[i]
@@ -60,6 +63,7 @@
 		return errors.New("the priority is negative")
 	}
 	x.byName[n.Name] = n
+	x.limited = x.limited || n.Rate > 0
 	for _, key := range n.Keys {
 		switch other := x.byKey[key]; {
 		case key == "":
@@ -78,6 +82,9 @@
 // caller in.
 func (t *Routes) Keyed() bool { return t.Tenants != nil }
 
+// Limited reports whether a tenant has a rate.
+func (t *Routes) Limited() bool { return t.tenants.limited }
+
 // TenantByKey returns the tenant that holds a key, or nil if there is none.
 func (t *Routes) TenantByKey(key string) *Tenant { return t.tenants.byKey[key] }
 
