quota: decisions of voters and hosts about the tenants' limits

Cause: a tenant's limit holds over all hosts, and no part of the system counted requests over all hosts. Change: package internal/proc/quota divides a limit among the voters (Grantor, Standing) and lets hosts get, keep and return tokens (Pool); pure, not wired yet.

--- /dev/null
+++ b/internal/proc/quota/day_test.go
@@ -0,0 +1,87 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// calmDay replays 79 tenants by a Zipf law of exponent 1.2, 120 requests a second in all, over 78 hosts in three zones.
+type calmDay struct {
+	*world
+	offered, refused, late map[tier.Tenant]int
+	limits                 map[tier.Tenant][2]float64
+	order                  []tier.Tenant
+	worst                  time.Duration
+}
+
+func newCalmDay(seed uint64, voters int, headroom float64) *calmDay {
+	d := &calmDay{world: newWorld(DefaultLimits(), seed), offered: map[tier.Tenant]int{}, refused: map[tier.Tenant]int{}, limits: map[tier.Tenant][2]float64{}}
+	d.limit = func(t tier.Tenant) (float64, float64) { return d.limits[t][0], d.limits[t][1] }
+	d.latency = func(a, b tier.Zone) time.Duration {
+		if a == b {
+			return 100 * time.Microsecond
+		}
+		return 500*time.Microsecond + time.Duration(d.rand.IntN(400))*time.Microsecond
+	}
+	zone := func(i int) tier.Zone { return tier.Zone(fmt.Sprint("z", i%3)) }
+	for i := range voters {
+		d.members[tier.NodeID(fmt.Sprint("v", i))] = true
+	}
+	for i := range voters {
+		d.addVoter(zone(i), true, true)
+	}
+	for i := range 78 {
+		d.addHost(zone(i))
+	}
+	sum := 0.0
+	for k := range 79 {
+		sum += math.Pow(float64(k+1), -1.2)
+	}
+	for k := range 79 {
+		t := tier.Tenant(fmt.Sprint("t", k))
+		mean := 120 * math.Pow(float64(k+1), -1.2) / sum
+		d.order = append(d.order, t)
+		d.limits[t] = [2]float64{headroom * mean, max(1, math.Ceil(headroom*mean))}
+		d.arrive(t, mean)
+	}
+	return d
+}
+
+func (d *calmDay) arrive(t tier.Tenant, mean float64) {
+	d.after(time.Duration(d.rand.ExpFloat64()/mean*float64(time.Second)), func() {
+		began := d.now
+		d.offered[t]++
+		d.request(d.hosts[d.rand.IntN(len(d.hosts))], t, func(o Outcome) {
+			d.worst = max(d.worst, d.now-began)
+			if !o.Granted {
+				d.refused[t]++
+			}
+		})
+		d.arrive(t, mean)
+	})
+}
+
+// TestCalmDay guards against refusals of tenants that stay within their limits: the requests of each are Poisson processes of
+// 1/1.6 of its limit.
+func TestCalmDay(t *testing.T) {
+	for _, voters := range []int{3, 5, 6, 9} {
+		d := newCalmDay(1, voters, 1.6)
+		d.runUntil(30 * time.Minute)
+		offered, refused, worst := 0, 0, 0.0
+		for _, x := range d.order {
+			offered += d.offered[x]
+			refused += d.refused[x]
+			share := float64(d.refused[x]) / float64(d.offered[x])
+			worst = max(worst, share)
+			require.LessOrEqual(t, share, 0.01, "tenant %s of %d voters: %d of %d", x, voters, d.refused[x], d.offered[x])
+		}
+		t.Logf("%d voters: %d of %d refused, worst tenant %.4f, %.2f calls a request, longest decision %s", voters, refused, offered, worst, float64(d.calls)/float64(offered), d.worst)
+		require.Less(t, float64(d.calls)/float64(offered), 1.5)
+	}
+}
--- /dev/null
+++ b/internal/proc/quota/limits.go
@@ -0,0 +1,93 @@
+// Package quota divides the tenants' limits among the voters of the control group, which grant tokens, and the hosts, which
+// spend one token for each request. It performs no I/O, reads no clock and is not safe for concurrent use.
+package quota
+
+import (
+	"math"
+	"time"
+
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// Limits says how exactly limits are kept: in any Window, at most (rate x Window + burst) x (1 + Overage) + Tolerance
+// requests of a tenant are sent to servers.
+type Limits struct {
+	Window    time.Duration
+	Overage   float64
+	Tolerance float64
+}
+
+// DefaultLimits returns the limits that apply where the settings name none.
+func DefaultLimits() Limits {
+	return Limits{Window: 5 * time.Second, Overage: 0.1, Tolerance: 20}
+}
+
+const (
+	// minLife is the shortest validity of a token. A host gets tokens from voters in other zones within a few milliseconds,
+	// and within 60 ms if two voters do not answer.
+	minLife = 100 * time.Millisecond
+	// maxLifeDivisor divides the window to give the longest validity of a token.
+	maxLifeDivisor = 10
+	// lifeShare is the part of the overage that the validity of tokens uses. The other half covers the time from the
+	// decision until the request arrives at a server.
+	lifeShare = 0.5
+)
+
+// Life returns how long a host may use a token.
+func (l Limits) Life() time.Duration {
+	life := time.Duration(float64(l.Window) * l.Overage * lifeShare)
+	return max(minLife, min(life, l.Window/maxLifeDivisor))
+}
+
+// Share returns the refill rate and the depth of the bucket of one of n voters. The buckets of all voters, with the tokens
+// that become available while others are still valid, stay within the limits: depths beyond the burst use the tolerance,
+// in whole tokens, because a bucket with less than one token is of no use. If depth is below 1, no token is ever granted.
+func (l Limits) Share(rate, burst float64, n int) (perSecond, depth float64) {
+	voters := float64(max(n, 1))
+	late := rate * (l.Window.Seconds()*l.Overage - 2*l.Life().Seconds())
+	extra := (l.Tolerance + min(late, 0)) / voters
+	depth = burst / voters
+	if extra > 0 {
+		depth += math.Floor(extra)
+	}
+	if extra < 0 || depth < 1 {
+		depth = max(0, burst/voters+extra)
+	}
+	return rate / voters, depth
+}
+
+// Token is the permission to send one request to servers.
+type Token struct {
+	// Voter granted the token, in the grant of that number.
+	Voter tier.NodeID
+	Grant uint64
+	// Expires is the time until which the token may be used, on the clock of the host that holds it.
+	Expires time.Duration
+}
+
+// Request is a host's request for tokens.
+type Request struct {
+	Tenant tier.Tenant `cbor:"1,keyasint"`
+	Wanted int         `cbor:"2,keyasint"`
+	// Returned are tokens, of any tenant, that the host does not need.
+	Returned []Returned `cbor:"3,keyasint,omitempty"`
+}
+
+// Returned are unused tokens of one grant.
+type Returned struct {
+	Tenant tier.Tenant `cbor:"1,keyasint"`
+	Grant  uint64      `cbor:"2,keyasint"`
+	Count  int         `cbor:"3,keyasint"`
+}
+
+// Reply answers a Request.
+type Reply struct {
+	Granted int `cbor:"1,keyasint,omitempty"`
+	// Grant is the number of the grant.
+	Grant uint64 `cbor:"2,keyasint,omitempty"`
+	// WaitMs is, if fewer tokens than wanted were granted, the time until there is one.
+	WaitMs tier.Millis `cbor:"3,keyasint,omitempty"`
+	// Absent is set if the host grants no tokens at present, NoVoter if it is not a voter.
+	Absent  bool `cbor:"4,keyasint,omitempty"`
+	NoVoter bool `cbor:"5,keyasint,omitempty"`
+}
