edge: hosts take the tenants' tokens from the voters

Cause: requests of tenants with a rate were not counted over all hosts. Change: stream kind quota, the pool of each host and the share of each voter wired into the node; a voter grants while it is in contact with the leader, a new one after 5 s. A request's token is handed back with Return, and only if nothing was sent to a server: before, a refusal by a server gave the token back as well.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -155,7 +155,7 @@
 	r := &ctrl.Replica{
 		Node: s.ID, Folder: &disk.Folder{Path: path, Node: s.ID, Founder: n.isFounder(), OpenLog: n.openLog, Stats: n.Stats},
 		Sender: n.raft, Clock: n.LeaseClock, Log: n.Log, CompactAfter: compactAfter, Ready: make(chan struct{}),
-		Hosts: n.replicaHosts, Tolerance: s.Tolerance, NoHub: true, RoutesChanged: n.installRoutes,
+		Hosts: n.replicaHosts, Tolerance: s.Tolerance, NoHub: true, RoutesChanged: n.installRoutes, MembersChanged: n.quotas.membersChanged,
 	}
 	if n.isFounder() {
 		r.InitialVoters = s.Seeds
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -110,6 +110,8 @@
 	strayLog event.Limit
 	// usage is accessed by maintain only.
 	usage usage
+	// quotas holds this node's part of the tenants' quotas.
+	quotas *quotas
 }
 
 // Build creates the node's components; call it once before Run.
@@ -140,11 +142,13 @@
 		OnAuthFailure: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
 	}
 	n.raft = &conn.Sender{Mesh: n.mesh, Kind: kindRaft, Resolve: n.peer}
+	n.quotas = newQuotas(n)
 	n.mesh.Handlers = map[conn.Kind]conn.Handler{
 		kindRaft:    conn.Receive(n.deliver),
 		kindControl: n.serveControl,
 		kindTable:   n.serveTable,
 		kindRelay:   n.serveRelay,
+		kindQuota:   n.quotas.serve,
 	}
 	n.forwarder = &reqst.Forwarder{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
@@ -152,6 +156,7 @@
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
 		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
 		GraceLeft: n.graceLeft,
+		Quota:     n.quotas,
 	}
 }
 
@@ -275,6 +280,7 @@
 	work.Add(base, &g, n.saveCopies)
 	work.Add(base, &g, n.maintain)
 	work.Add(base, &g, n.watchReach)
+	work.Add(base, &g, n.quotas.watch)
 	for _, f := range actors {
 		work.Add(base, &g, f)
 	}
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -130,6 +130,7 @@
 	set("servers_reach", "tried", float64(tried))
 	set("servers_reach", "lost", float64(lost))
 	set("routes_version", "", float64(n.routesVersion()))
+	n.quotas.setGauges(set)
 	if n.LinesDropped != nil {
 		set("log_lines_unwritten", "", float64(n.LinesDropped()))
 	}
--- a/internal/edge/routes.go
+++ b/internal/edge/routes.go
@@ -109,6 +109,7 @@
 	case n.tableChanged <- struct{}{}:
 	default:
 	}
+	n.quotas.routesChanged(t)
 	n.gossip.setRoutes(d.Version)
 	n.publishReady()
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -71,6 +72,8 @@
 	// process holds at a time; 0 means no bound.
 	Answers   conn.AnswerLimits
 	HeldBytes int64
+	// Quota says how exactly tenants' limits are kept; without a window the defaults apply.
+	Quota quota.Limits
 }
 
 // CallerLimits are the limits of the callers' listener. Only BodyBytes can be replaced by a routing
--- a/internal/proc/ctrl/apply.go
+++ b/internal/proc/ctrl/apply.go
@@ -29,6 +29,7 @@
 		}
 	}
 	r.updateRole()
+	r.notifyMembers()
 	return r.compact()
 }
 
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -72,6 +72,9 @@
 	// RoutesChanged, if not nil, is called with each newly committed routing table, and with the current one after
 	// the state has been read from disk or from a snapshot.
 	RoutesChanged func(store.RoutesDoc)
+	// MembersChanged, if not nil, is called with each new membership in the log, and with the current one after the state has
+	// been read from disk. It must not block.
+	MembersChanged func(Membership)
 
 	core  quorum.Core
 	store *store.Store
@@ -97,6 +100,13 @@
 	hubOpening bool
 	subs       map[*Sub]bool
 	role       quorum.Role
+
+	// bootstrapped is set if this replica created the group since it was opened.
+	bootstrapped bool
+	// notifiedIndex and notifiedTerm are those of the membership that was reported last, if one was (notified).
+	notified      bool
+	notifiedIndex tier.Index
+	notifiedTerm  tier.Term
 }
 
 type proposal struct {
--- a/internal/proc/ctrl/found.go
+++ b/internal/proc/ctrl/found.go
@@ -82,6 +82,7 @@
 	}
 	r.hard = hard
 	r.core.Start(r.Clock.Now(), hard, quorum.Snap{}, entries)
+	r.bootstrapped = true
 	event.ClusterFounded.Log(r.Log, nil, logrus.Fields{"voters": m.Voters})
 	return nil
 }
--- a/internal/proc/quota/pool.go
+++ b/internal/proc/quota/pool.go
@@ -175,6 +175,13 @@
 	return p.advance(now, a)
 }
 
+// Cancel drops a waiter whose request has ended.
+func (p *Pool) Cancel(t tier.Tenant, id uint64) {
+	if a := p.accounts[t]; a != nil {
+		a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return w.id == id })
+	}
+}
+
 // Reply handles the answer to a call.
 func (p *Pool) Reply(now time.Duration, id uint64, r Reply) Effects {
 	c := p.end(id)
--- a/internal/proc/quota/sim_test.go
+++ b/internal/proc/quota/sim_test.go
@@ -28,10 +28,9 @@
 	// frozen holds the processes that do not run; their events are delayed until they do.
 	frozen map[string]time.Duration
 	// sent are the times at which requests were sent to servers, by tenant.
-	sent     map[tier.Tenant][]time.Duration
-	calls    int
-	handover time.Duration
-	grants   uint64
+	sent   map[tier.Tenant][]time.Duration
+	calls  int
+	grants uint64
 }
 
 type simHost struct {
@@ -77,7 +76,7 @@
 	return &world{
 		limits: l, rand: rand.New(rand.NewPCG(seed, 1)), voters: map[tier.NodeID]*simVoter{}, members: map[tier.NodeID]bool{},
 		cut: func(string, string) bool { return false }, latency: func(tier.Zone, tier.Zone) time.Duration { return time.Millisecond },
-		frozen: map[string]time.Duration{}, sent: map[tier.Tenant][]time.Duration{}, handover: 6 * time.Second,
+		frozen: map[string]time.Duration{}, sent: map[tier.Tenant][]time.Duration{},
 	}
 }
 
@@ -147,7 +146,8 @@
 	w.grants += 1 << 20
 	v.grantor = &Grantor{Limits: w.limits, FirstGrant: w.grants}
 	v.grantor.Start(w.now, settled && w.now == 0)
-	v.standing = &Standing{Handover: w.handover}
+	v.standing = &Standing{}
+	v.standing.Resume(w.now)
 	if v.members == nil {
 		v.members = w.members
 	}
--- a/internal/proc/quota/standing.go
+++ b/internal/proc/quota/standing.go
@@ -2,24 +2,32 @@
 
 import "time"
 
-// maxViewAge is how long an observation of the control replica counts. A replica whose disk hangs is observed no more.
-const maxViewAge = time.Second
+const (
+	// ContactWindow is how long a voter grants tokens after the last contact with a leader. Elections take less than 2 s.
+	ContactWindow = 2500 * time.Millisecond
+	// Handover is the time within which a host that is no voter any more stops granting tokens, and the other voters count
+	// with the new membership: a leader without a quorum sends messages for another 0.7 s at most, they may wait for
+	// maxObserveGap at a host that was suspended, and ContactWindow follows. The proof of the control group, if it is
+	// required, expires sooner.
+	Handover = 5 * time.Second
+	// maxObserveGap is the longest time between two observations of a host that runs undisturbed.
+	maxObserveGap = time.Second
+	// resumeDelay is how long contact does not count after a suspension: messages of a former leader may have waited.
+	resumeDelay = time.Second
+)
 
-// Standing decides whether this host may grant tokens, as one of how many voters. A change of the group's membership reaches
-// the voters at different times, and a host that is no voter any more learns of it last, or never; but it holds no valid
-// proof of the control group for longer than Handover. Therefore a new voter waits for Handover, and a voter counts with the
-// largest membership of that time.
+// Standing decides whether this host may grant tokens, as one of how many voters. Changes of the group's membership reach the
+// voters at different times, and a host that is no voter any more may never learn of it, but stops within Handover, for lack
+// of contact. Therefore a new voter waits for Handover, and all voters count with the largest membership of that time.
 type Standing struct {
-	// Handover is longer than a voter that lost its connection to the control group grants tokens.
-	Handover time.Duration
-
-	voter    bool
-	since    time.Duration
-	voters   int
-	former   []formerCount
-	observed time.Duration
-	contact  bool
-	known    bool
+	known, voter bool
+	since        time.Duration
+	voters       int
+	former       []formerCount
+	// observed is the time of the last observation, contact that of the last one with contact; contact before notBefore does
+	// not count.
+	observed, contact, notBefore time.Duration
+	contacted                    bool
 }
 
 // formerCount is a number of voters that counts until a time.
@@ -28,39 +36,52 @@
 	until  time.Duration
 }
 
-// Members records the membership in the replica's log. settled is set if this host was a voter of the same membership
-// before its start, or if the group was bootstrapped by this process.
+// Members records the membership in the replica's log. settled is set if this host had a share of this membership before its
+// start, or if the group was bootstrapped by this process.
 func (s *Standing) Members(now time.Duration, voter bool, voters int, settled bool) {
 	switch {
 	case !s.known && settled:
-		s.since = now - s.Handover
+		s.since = now - Handover
 	case !s.known:
 		// The membership before the start may have had one voter more: it changes by one at a time.
-		s.since = now
-		s.former = append(s.former, formerCount{voters + 1, now + s.Handover})
+		s.since, s.former = now, append(s.former, formerCount{voters + 1, now + Handover})
 	case voter && !s.voter:
 		s.since = now
 	}
 	if s.known && voters != s.voters {
-		s.former = append(s.former, formerCount{s.voters, now + s.Handover})
+		s.former = append(s.former, formerCount{s.voters, now + Handover})
 	}
 	s.known, s.voter, s.voters = true, voter, voters
 }
 
-// Observe records whether the replica is in contact with a leader, or leads.
-func (s *Standing) Observe(now time.Duration, contact bool) { s.observed, s.contact = now, contact }
+// Settle ends the wait of a new voter: all other voters count with a membership that contains this host.
+func (s *Standing) Settle(now time.Duration) { s.since = min(s.since, now-Handover) }
+
+// Resume must be called before the first Observe, and before the first one after a pause of the observations.
+func (s *Standing) Resume(now time.Duration) { s.observed = now }
+
+// Observe records whether the replica leads or hears from a leader. It must be called every few hundred milliseconds.
+func (s *Standing) Observe(now time.Duration, contact bool) {
+	if now-s.observed > maxObserveGap {
+		s.notBefore = now + resumeDelay
+	}
+	s.observed = now
+	if contact && now >= s.notBefore {
+		s.contact, s.contacted = now, true
+	}
+}
 
 // Voter reports whether this host is a voter.
 func (s *Standing) Voter() bool { return s.voter }
 
 // Settled reports whether this host has been a voter for long enough to have a share.
 func (s *Standing) Settled(now time.Duration) bool {
-	return s.known && s.voter && now-s.since >= s.Handover
+	return s.known && s.voter && now-s.since >= Handover
 }
 
 // Granting returns the number of voters that share the limits, or 0 if this host must not grant tokens.
 func (s *Standing) Granting(now time.Duration) int {
-	if !s.Settled(now) || !s.contact || now-s.observed > maxViewAge {
+	if !s.Settled(now) || !s.contacted || now-s.contact > ContactWindow {
 		return 0
 	}
 	n, kept := s.voters, s.former[:0]
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -12,6 +12,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/proc/reach"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
 	"sassafrasring.dev/sassafrasring/internal/proc/terms"
@@ -65,6 +66,9 @@
 	Repeat   bool
 	// Tenant is the caller's tenant, once its key has been recognized; "" where no key is needed.
 	Tenant tier.Tenant
+
+	// quota is what the request took from the tenant's quota.
+	quota quota.Token
 }
 
 // Outbound is the answer to a caller.
@@ -275,7 +279,7 @@
 		return d.refused(r, refused)
 	}
 	out, done := d.serve(ctx, f, table.Version)
-	d.returnQuota(in, tenant, &out)
+	d.returnQuota(f, in, &out)
 	if done {
 		return out
 	}
@@ -291,6 +295,7 @@
 	in, r, began := f.in, f.route, d.Clock.Now()
 	if d.cut.Load() && d.relayable(in) {
 		if out, done = d.relay(ctx, in, r, version, began, account{limit: r.MaxAttempts()}); done {
+			f.passedOn = true
 			return out, true
 		}
 		left := began + in.timeLeft(r) - d.Clock.Now()
@@ -304,7 +309,7 @@
 	out = f.run(ctx)
 	if f.diverted {
 		if other, ok := d.relay(ctx, in, r, version, began, f.account()); ok {
-			out = other
+			out, f.passedOn = other, true
 		}
 	}
 	return out, false
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -68,6 +68,8 @@
 	// diverted is set if the node turned out to be cut off from the servers while the request waited for them, and the
 	// request goes on through another node.
 	diverted bool
+	// passedOn is set if another node received the request.
+	passedOn bool
 }
 
 // directReply is a reply with the server's whole answer.
--- a/internal/reqst/plan.go
+++ b/internal/reqst/plan.go
@@ -414,6 +414,9 @@
 	return p.ran || (p.finished && slices.ContainsFunc(p.attempts, func(a attempt) bool { return a.open }))
 }
 
+// Sent reports whether a sub-request was sent to a server.
+func (p *Plan) Sent() bool { return len(p.attempts) > 0 }
+
 // Used returns the greatest number of servers of one shard that may have run their part. If except is not nil, attempts for
 // which it returns true do not count: it gets the server and the time at which the sub-request was sent.
 func (p *Plan) Used(except func(id tier.ServerID, sent time.Duration) bool) (most int) {
--- a/internal/reqst/tenant.go
+++ b/internal/reqst/tenant.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -21,7 +22,7 @@
 	// Take takes one request from a tenant's quota; it may wait up to limit for other nodes.
 	Take(ctx context.Context, n *vers.Tenant, limit time.Duration) QuotaResult
 	// Return gives back the request of an earlier Take that did not run.
-	Return(n *vers.Tenant)
+	Return(n *vers.Tenant, token quota.Token)
 }
 
 // QuotaResult is the result of Quota.Take. Unless Granted is set, Known tells whether the quota is exhausted or could not be
@@ -30,6 +31,8 @@
 	Granted    bool
 	Known      bool
 	RetryAfter time.Duration
+	// Token is what was taken.
+	Token quota.Token
 }
 
 const (
@@ -88,6 +91,7 @@
 	res := d.Quota.Take(ctx, n, max(r.Objective()/quotaTargetDivisor, minQuotaTime))
 	switch {
 	case res.Granted:
+		in.quota = res.Token
 		return nil
 	case res.Known:
 		return &Outbound{Status: http.StatusTooManyRequests, Reason: tier.ReasonQuota, RetryAfter: res.RetryAfter}
@@ -96,10 +100,10 @@
 	return &out
 }
 
-// returnQuota gives back what a request took from its tenant's quota if it has not run.
-func (d *Forwarder) returnQuota(in *Inbound, n *vers.Tenant, out *Outbound) {
-	if d.limited(in, n) && saysNotRun(out.Status) {
-		d.Quota.Return(n)
+// returnQuota gives back what a request took from its tenant's quota if it was sent to no server, by this node or another.
+func (d *Forwarder) returnQuota(f *forwarding, in *Inbound, out *Outbound) {
+	if d.limited(in, f.tenant) && saysNotRun(out.Status) && !f.passedOn && (f.plan == nil || !f.plan.Sent()) {
+		d.Quota.Return(f.tenant, in.quota)
 	}
 }
 
--- a/internal/reqst/tenant_test.go
+++ b/internal/reqst/tenant_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -24,10 +25,14 @@
 		return QuotaResult{Known: true, RetryAfter: time.Second}
 	}
 	q.left--
-	return QuotaResult{Granted: true}
+	return QuotaResult{Granted: true, Token: quota.Token{Grant: 7}}
 }
 
-func (q *countingQuota) Return(*vers.Tenant) { q.left++ }
+func (q *countingQuota) Return(_ *vers.Tenant, token quota.Token) {
+	if token.Grant == 7 {
+		q.left++
+	}
+}
 
 // TestKeysDecideWhoIsServed lists what callers send on a table with tenants, and what servers and callers get.
 func TestKeysDecideWhoIsServed(t *testing.T) {
