--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -353,7 +353,8 @@
 	}
 }
 
-// observe records the replica's contact with the leader. ok is set while this host has a share.
+// observe records the replica's contact with the leader. ok is set while this host has a share that a restart does not
+// interrupt.
 func (q *quotas) observe(ctx context.Context) (share savedShare, ok bool) {
 	r := q.node.replica.Load()
 	if r == nil {
@@ -366,5 +367,5 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	q.standing.Observe(now, contact)
-	return savedShare{q.membership.Replica, q.membership.Index}, q.updateStanding(now) > 0
+	return savedShare{q.membership.Replica, q.membership.Index}, q.updateStanding(now) > 0 && q.standing.Stable(now)
 }
--- a/internal/proc/quota/grantor.go
+++ b/internal/proc/quota/grantor.go
@@ -27,17 +27,16 @@
 	buckets map[tier.Tenant]*bucket
 	last    uint64
 	// started is when the first token may have been granted. An earlier process may have granted the whole share just before,
-	// so that buckets start empty; fullAt is when nothing of that counts any more, and buckets are full whatever was granted
-	// since.
+	// so that buckets start empty; fullAt is when nothing of that counts any more, and buckets are as if they had started full.
 	started, fullAt time.Duration
 	swept           time.Duration
 }
 
 // bucket is a voter's share of one tenant's limit.
 type bucket struct {
-	// level is the number of tokens at the time at, with the rate since.
-	level, rate, depth float64
-	at                 time.Duration
+	// level is the number of tokens at the time at, with the rate since. ifFull is what it would be had the bucket started full.
+	level, ifFull, rate, depth float64
+	at                         time.Duration
 	// grants are those whose tokens may still be in use, oldest first.
 	grants []grant
 	// promised is the number of hosts that were told to wait for a token that is not there yet.
@@ -74,7 +73,7 @@
 	var r Reply
 	if granted > 0 {
 		g.last++
-		b.level -= float64(granted)
+		b.level, b.ifFull = b.level-float64(granted), b.ifFull-float64(granted)
 		b.grants = append(b.grants, grant{g.last, now, granted})
 		r.Granted, r.Grant = granted, g.last
 	}
@@ -97,7 +96,7 @@
 func (g *Grantor) bucket(now time.Duration, t tier.Tenant, rate, depth float64) *bucket {
 	b := g.buckets[t]
 	if b == nil {
-		b = &bucket{level: depth, rate: rate, depth: depth, at: now}
+		b = &bucket{level: depth, ifFull: depth, rate: rate, depth: depth, at: now}
 		if now < g.fullAt {
 			b.level, b.at = 0, g.started
 		}
@@ -113,14 +112,13 @@
 	refill := min(b.rate, rate) * max(0, elapsed).Seconds()
 	full := b.at < g.fullAt && now >= g.fullAt
 	b.at, b.rate, b.depth = now, rate, depth
-	b.level += refill
 	b.promised = max(0, b.promised-refill)
+	life := g.Limits.Life()
+	most := max(0, min(depth, depth+rate*life.Seconds()-float64(b.inUse(now, life))))
+	b.level, b.ifFull = min(b.level+refill, most), min(b.ifFull+refill, most)
 	if full {
-		b.level = depth
+		b.level = b.ifFull
 	}
-	life := g.Limits.Life()
-	used := b.inUse(now, life)
-	b.level = max(0, min(b.level, depth, depth+rate*life.Seconds()-float64(used)))
 }
 
 // inUse drops the grants that have expired and returns the number of tokens in the others.
@@ -143,7 +141,7 @@
 		if x.number == r.Grant && now-x.at <= life && r.Count > 0 {
 			n := min(r.Count, x.count)
 			x.count -= n
-			b.level += float64(n)
+			b.level, b.ifFull = b.level+float64(n), b.ifFull+float64(n)
 			return
 		}
 	}
