--- a/internal/edge/quota_test.go
+++ b/internal/edge/quota_test.go
@@ -33,7 +33,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	end := make(chan error, 1)
 	go func() { end <- entry.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-end })
+	t.Cleanup(func() {
+		cancel()
+		require.ErrorIs(t, <-end, context.Canceled)
+	})
 	f.nodes = append(f.nodes, entry)
 	return f
 }
