--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -8,6 +8,7 @@
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/edge"
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/internal/setup"
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -74,6 +75,7 @@
 		Revocation: edge.Revocation{Strict: s.Revocation.Strict, Limit: s.Revocation.LimitMs.Duration()},
 		Budget:     reqst.Allowance{Ratio: float64(s.Repeats.Percent) / percent, Fixed: float64(s.Repeats.Fixed), Window: s.Repeats.WindowMs.Duration()},
 		Limits:     edge.CallerLimits{HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, HeaderTimeout: s.Limits.ReadMs.Duration(), BodyTimeout: s.Limits.BodyMs.Duration(), IdleTimeout: s.Limits.IdleMs.Duration()},
+		Quota:      quota.Limits{Window: s.Quota.WindowMs.Duration(), Overage: float64(s.Quota.Percent) / percent, Tolerance: float64(s.Quota.Slack)},
 	}, nil
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -111,6 +111,8 @@
 	strayLog event.Limit
 	// usage is accessed by maintain only.
 	usage usage
+	// quotas holds this node's part of the tenants' quotas.
+	quotas *quotas
 }
 
 // Build creates the node's components; call it once before Run.
@@ -142,19 +144,22 @@
 		OnAuthFailure: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
 	}
 	n.raft = &conn.Sender{Mesh: n.mesh, Kind: kindRaft, Resolve: n.peer}
+	n.quotas = newQuotas(n)
+	n.quotas.Proven = n.ProofHeld
 	n.mesh.Handlers = map[conn.Kind]conn.Handler{
 		kindRaft:    conn.Receive(n.deliver),
 		kindControl: n.serveControl,
 		kindTable:   n.serveTable,
 		kindRelay:   n.serveRelay,
 		kindProof:   n.serveProof,
+		kindQuota:   n.quotas.serve,
 	}
 	n.forwarder = &reqst.Forwarder{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.routesRecent,
 		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
-		GraceLeft: n.graceLeft, Proof: n.currency,
+		GraceLeft: n.graceLeft, Proof: n.currency, Quota: n.quotas,
 	}
 }
 
@@ -279,6 +284,7 @@
 	work.Add(base, &g, n.maintain)
 	work.Add(base, &g, n.watchReach)
 	work.Add(base, &g, n.watchProof)
+	work.Add(base, &g, n.quotas.watch)
 	for _, f := range actors {
 		work.Add(base, &g, f)
 	}
--- a/internal/edge/routes.go
+++ b/internal/edge/routes.go
@@ -110,6 +110,7 @@
 	default:
 	}
 	n.currency.installed(d.Version)
+	n.quotas.routesChanged(t)
 	n.gossip.setRoutes(d.Version)
 	n.publishReady()
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -73,6 +74,8 @@
 	HeldBytes int64
 	// Revocation configures how soon the removal of a tenant's key holds on all nodes.
 	Revocation Revocation
+	// Quota says how exactly tenants' limits are kept; without a window the defaults apply.
+	Quota quota.Limits
 }
 
 // CallerLimits are the limits of the callers' listener. Only BodyBytes can be replaced by a routing
