quota: a new voter gets its share as soon as all others count with it

Cause: shares of new voters lay idle for 5 s after each growth of the group, which at the first start of a fleet grows from 3 to 8 voters: 3/8 of each limit was left. Change: voters publish in their host record (field 18) by which committed membership they count; a new one starts when all others do. A host that restarted has forgotten former memberships and says so after 5 s only.

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,9 @@
 	grantor    quota.Grantor
 	standing   quota.Standing
 	membership ctrl.Membership
+	// joined is the index of the membership that made this host a voter, as far as is known; published is the share in its
+	// record.
+	joined, published tier.Index
 	// settled and granting are those of the standing at the last look.
 	settled, granting bool
 	named             map[tier.Tenant]*tenantNote
@@ -270,8 +274,11 @@
 	if first {
 		q.settled = m.Voter && had
 	}
+	if m.Voter && !q.membership.Voter {
+		q.joined = m.Index
+	}
 	q.membership = m
-	q.standing.Members(now, m.Voter, m.Voters, had)
+	q.standing.Members(now, m.Voter, len(m.Voters), had)
 }
 
 // hadShare reports whether this host had a share in a membership before its process started.
@@ -362,10 +369,46 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, quotaCallTimeout)
 	defer cancel()
-	contact := r.InContact(ctx)
+	contact, committed := r.InContact(ctx)
+	q.publishShare(committed)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
 	q.standing.Observe(now, contact)
+	if !q.settled && contact && q.othersCount() {
+		q.standing.Settle(now)
+	}
 	return savedShare{q.membership.Replica, q.membership.Index}, q.updateStanding(now) > 0 && q.standing.Stable(now)
 }
+
+// publishShare publishes in this host's record by which membership it counts the shares, once that is committed and no larger
+// one counts any more.
+func (q *quotas) publishShare(committed tier.Index) {
+	q.mu.Lock()
+	share := q.membership.Index
+	if committed != share || !q.standing.Counting(q.now()) {
+		share = 0
+	}
+	published := q.published
+	q.published = max(published, share)
+	q.mu.Unlock()
+	if share > published {
+		q.node.gossip.updateSelf(func(h *spread.Host) { h.Share = share })
+	}
+}
+
+// othersCount reports whether all other voters count by the membership that made this host a voter, or by a later one. It is
+// called with mu held.
+func (q *quotas) othersCount() bool {
+	if !q.membership.Voter || q.published < q.joined {
+		return false
+	}
+	hosts := q.node.gossip.list()
+	for _, id := range q.membership.Voters {
+		i := slices.IndexFunc(hosts, func(h spread.Host) bool { return h.ID == id })
+		if id != q.node.Settings.ID && (i < 0 || hosts[i].State == spread.HostDown || hosts[i].Share < q.joined) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/edge/quota_test.go
+++ b/internal/edge/quota_test.go
@@ -114,3 +114,33 @@
 	}
 	require.Eventually(t, share, 30*time.Second, 10*time.Millisecond, "the share is in %s", filepath.Join(n.Settings.Data, shareFile))
 }
+
+// TestNewVoterGetsItsShare guards against shares that nobody has after the group has grown: a host with a disk joins.
+func TestNewVoterGetsItsShare(t *testing.T) {
+	f := startQuotaFleet(t)
+	f.apply(t, 1, 100, 5)
+	s := f.nodes[0].Settings
+	s.ID = tier.NodeID(string(s.ID[:len(s.ID)-1]) + "8")
+	s.Name, s.Bootstrap, s.Data = "late", false, t.TempDir()
+	late := newControlNode(s)
+	runControlNode(t, late)
+	granting := func(n *Node) func() bool {
+		return func() bool {
+			n.quotas.mu.Lock()
+			defer n.quotas.mu.Unlock()
+			return n.quotas.granting
+		}
+	}
+	voter := func() bool {
+		late.quotas.mu.Lock()
+		defer late.quotas.mu.Unlock()
+		return late.quotas.membership.Voter
+	}
+	require.Eventually(t, voter, 30*time.Second, 10*time.Millisecond, "the host becomes a voter")
+	began := time.Now()
+	require.Eventually(t, granting(late), 30*time.Second, 10*time.Millisecond, "it has a share")
+	t.Logf("share %s after it became a voter", time.Since(began).Round(time.Millisecond))
+	for _, n := range f.nodes[:3] {
+		require.Eventually(t, granting(n), 30*time.Second, 10*time.Millisecond, "%s keeps its share", n.Settings.ID)
+	}
+}
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -197,6 +197,7 @@
 		return err
 	}
 	r.notifyRoutes()
+	r.notifyMembers()
 	if r.Ready != nil {
 		close(r.Ready)
 	}
--- a/internal/proc/ctrl/members.go
+++ b/internal/proc/ctrl/members.go
@@ -11,9 +11,9 @@
 	Replica tier.ReplicaID
 	// Index is the log entry that set the membership, committed or not.
 	Index tier.Index
-	// Voter is set if the replica is a voter; Voters is the number of all.
+	// Voter is set if the replica is a voter; Voters are the nodes of all.
 	Voter  bool
-	Voters int
+	Voters []tier.NodeID
 	// Bootstrapped is set if this replica created the group since it was opened.
 	Bootstrapped bool
 }
@@ -28,11 +28,26 @@
 	}
 	r.notified, r.notifiedIndex, r.notifiedTerm = true, i, term
 	m := r.core.Membership()
-	r.MembersChanged(Membership{Replica: r.core.ID, Index: i, Voter: m.IsVoter(r.core.ID), Voters: len(m.Voters), Bootstrapped: r.bootstrapped})
+	out := Membership{Replica: r.core.ID, Index: i, Voter: m.IsVoter(r.core.ID), Bootstrapped: r.bootstrapped}
+	for _, id := range m.Voters {
+		out.Voters = append(out.Voters, id.Node())
+	}
+	r.MembersChanged(out)
 }
 
-// InContact reports whether the replica leads with a quorum, or has heard from a leader within an election timeout.
-func (r *Replica) InContact(ctx context.Context) (contact bool) {
-	err := r.runInLoop(ctx, func() { contact = r.core.InContact(r.Clock.Now()) })
-	return err == nil && contact
+// InContact reports whether the replica leads with a quorum, or has heard from a leader within an election timeout. committed
+// is the index of the membership in the log if it is committed, otherwise 0.
+func (r *Replica) InContact(ctx context.Context) (contact bool, committed tier.Index) {
+	var in bool
+	var members tier.Index
+	err := r.runInLoop(ctx, func() {
+		in = r.core.InContact(r.Clock.Now())
+		if i := r.core.MembersIndex(); i <= r.core.Applied() {
+			members = i
+		}
+	})
+	if err != nil {
+		return false, 0
+	}
+	return in, members
 }
--- a/internal/proc/quota/sim_test.go
+++ b/internal/proc/quota/sim_test.go
@@ -166,12 +166,25 @@
 // observe lets a voter observe its contact, now and from now on.
 func (w *world) observe(v *simVoter) {
 	v.standing.Observe(w.now, w.now < v.contact)
+	if !v.settled && w.now < v.contact && w.othersCount(v) {
+		v.standing.Settle(w.now)
+	}
 	if w.standing(v) > 0 && v.standing.Stable(w.now) {
 		v.share = v.members
 	}
 	w.at(string(v.id), 100*time.Millisecond, func() { w.observe(v) })
 }
 
+// othersCount reports whether all other voters count by the membership that a voter knows.
+func (w *world) othersCount(v *simVoter) bool {
+	for id := range *v.members {
+		if x := w.voters[id]; x != v && (x == nil || x.members != v.members || !x.standing.Counting(w.now)) {
+			return false
+		}
+	}
+	return (*v.members)[v.id]
+}
+
 // learn tells a voter the membership.
 func (w *world) learn(v *simVoter, m *membership) {
 	v.members = m
--- a/internal/proc/quota/standing.go
+++ b/internal/proc/quota/standing.go
@@ -29,6 +29,8 @@
 	// not count.
 	observed, contact, notBefore time.Duration
 	contacted                    bool
+	// recalls is when this host knows all memberships of the last Handover; those from before its start are lost.
+	recalls time.Duration
 }
 
 // formerCount is a number of voters that counts until a time.
@@ -45,6 +47,9 @@
 		s.since = now - Handover
 	case !s.known:
 		s.since = now
+		if voters > 0 {
+			s.recalls = now + Handover
+		}
 	case voter && !s.voter:
 		s.since = now
 	}
@@ -54,8 +59,12 @@
 	s.known, s.voter, s.voters = true, voter, voters
 }
 
-// Settle ends the wait of a new voter: all other voters count with a membership that contains this host.
-func (s *Standing) Settle(now time.Duration) { s.since = min(s.since, now-Handover) }
+// Settle ends the wait of a new voter: all other voters are Counting with a membership that contains this host.
+func (s *Standing) Settle(now time.Duration) {
+	if s.Counting(now) {
+		s.since = min(s.since, now-Handover)
+	}
+}
 
 // Resume must be called before the first Observe, and before the first one after a pause of the observations.
 func (s *Standing) Resume(now time.Duration) { s.observed = now }
@@ -79,6 +88,12 @@
 	return s.known && s.voter && now-s.since >= Handover
 }
 
+// Counting reports whether this host counts with the current membership, if it grants at all: former ones with more voters do
+// not count any more, and none was forgotten in a restart.
+func (s *Standing) Counting(now time.Duration) bool {
+	return s.known && now >= s.recalls && s.count(now) == s.voters
+}
+
 // Stable reports whether this host has a share and no former membership counts any more.
 func (s *Standing) Stable(now time.Duration) bool {
 	n := s.Granting(now)
@@ -90,6 +105,11 @@
 	if !s.Settled(now) || !s.contacted || now-s.contact > ContactWindow {
 		return 0
 	}
+	return s.count(now)
+}
+
+// count returns the largest number of voters that counts.
+func (s *Standing) count(now time.Duration) int {
 	n, kept := s.voters, s.former[:0]
 	for _, f := range s.former {
 		if now < f.until {
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -51,6 +51,8 @@
 	Mbits float64 `cbor:"14,keyasint,omitempty" json:"mbits,omitempty"`
 	// Cut is set while the host does not reach the servers, though it reaches other hosts.
 	Cut bool `cbor:"15,keyasint,omitempty" json:"cut,omitempty"`
+	// Share is the log index of the group's membership by which this control host counts the shares of tenants' limits.
+	Share tier.Index `cbor:"18,keyasint,omitempty" json:"share,omitempty"`
 }
 
 // Less reports whether o is the newer version of the same host.
