--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -53,6 +53,8 @@
 	Cut bool `cbor:"15,keyasint,omitempty" json:"cut,omitempty"`
 	// Unproven is set while the host refuses requests with keys, because it does not know whether its table is the newest.
 	Unproven bool `cbor:"16,keyasint,omitempty" json:"unproven,omitempty"`
+	// Share is the log index of the group's membership by which this control host counts the shares of tenants' limits.
+	Share tier.Index `cbor:"18,keyasint,omitempty" json:"share,omitempty"`
 }
 
 // Less reports whether o is the newer version of the same host.
