evac: zones are evacuated by committed orders, and cold servers get a bounded rate

Cause: an operator could not stop traffic to the servers of a zone, and a server's warm-up time was ignored after its first announcement. Change: the replicated store holds the set of evacuated zones, which spreads by a version in gossip packets and is excluded from every choice of a server; records of servers carry the remaining warm-up time, and hosts share the rate that a cold server tolerates.

--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -8,6 +8,7 @@
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/edge"
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/internal/setup"
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -72,6 +73,7 @@
 		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Data: s.Data, Tolerance: s.Tolerance, AnnounceInterval: s.AnnounceIntervalMs.Duration(), GracePeriod: s.GraceMs.Duration(),
 		AnswerTTL: s.TTLMs.Duration(), Answers: s.Answers.Limits(), HeldBytes: s.Answers.HeldBytes, MemoryBytes: int64(s.Limits.MemoryMB) * megabyte,
 		Budget: reqst.Allowance{Ratio: float64(s.Repeats.Percent) / percent, Fixed: float64(s.Repeats.Fixed), Window: s.Repeats.WindowMs.Duration()},
+		Cold:   terms.ColdBound{Overage: float64(s.Cold.Percent) / percent, Tolerance: float64(s.Cold.Fixed)},
 		Limits: edge.CallerLimits{HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, HeaderTimeout: s.Limits.ReadMs.Duration(), BodyTimeout: s.Limits.BodyMs.Duration(), IdleTimeout: s.Limits.IdleMs.Duration()},
 	}, nil
 }
--- a/internal/cmdln/root.go
+++ b/internal/cmdln/root.go
@@ -102,6 +102,7 @@
 	root.AddCommand(serveCommand(o), edgeCommand(o), platformCommand(o), settingsCommand(o), hashCommand(o), certCommand(o), versionCommand(o))
 	root.AddCommand(statusCommand(o), configCommand(o), exceptionCommand(o), nodeCommand(o), serverCommand(o), controlCommand(o), suspectCommand(o))
 	root.AddCommand(routesCommand(o), queryCommand(o), writeCommand(o), replayCommand(o), traceCommand(o), lossesCommand(o), manCommand(o), eventsCommand(o))
+	root.AddCommand(zoneCommand(o), tenantsCommand(o))
 	return root
 }
 
--- a/internal/edge/catalog.go
+++ b/internal/edge/catalog.go
@@ -20,6 +20,8 @@
 // records it affects: those of the server's service and of the servers at its addresses. Readers
 // take no lock.
 type catalog struct {
+	// evacuated reports whether a zone is evacuated, whose servers get nothing; nil means that none is.
+	evacuated func(tier.Zone) bool
 	// onDial is called for each new connection.
 	onDial func()
 	// onStray and onRepeat are called for discarded answers and for repeated IDs.
@@ -155,7 +157,7 @@
 func (c *catalog) publish(s tier.Service) {
 	var list []tier.Candidate
 	for id := range c.byService[s] {
-		if t := c.target(id); t != nil && t.rec.State == spread.ServerReady {
+		if t := c.target(id); t != nil && t.rec.State == spread.ServerReady && !c.excluded(t) {
 			list = append(list, tier.Candidate{Server: id, Zone: t.rec.Zone})
 		}
 	}
@@ -183,6 +185,18 @@
 	return v.([]tier.Candidate)
 }
 
+// excluded reports whether a server's zone is evacuated.
+func (c *catalog) excluded(t *target) bool { return c.evacuated != nil && c.evacuated(t.rec.Zone) }
+
+// publishAll rebuilds the lists of all services after a change of the evacuated zones.
+func (c *catalog) publishAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s := range c.byService {
+		c.publish(s)
+	}
+}
+
 // count returns the number of servers of each service that accept new requests.
 func (c *catalog) count() map[tier.Service]int {
 	out := map[tier.Service]int{}
@@ -193,9 +207,9 @@
 	return out
 }
 
-// Direct returns the connections to a server, or nil if the server is not in the catalog.
+// Direct returns the connections to a server, or nil if the server is not in the catalog or its zone is evacuated.
 func (c *catalog) Direct(id tier.ServerID) *conn.Direct {
-	if t := c.target(id); t != nil {
+	if t := c.target(id); t != nil && !c.excluded(t) {
 		return t.direct
 	}
 	return nil
@@ -221,6 +235,9 @@
 func (c *catalog) closeExpired(now time.Time) {
 	c.targets.Range(func(_, t any) bool {
 		t.(*target).direct.CloseExpired(now)
+		if c.excluded(t.(*target)) {
+			t.(*target).direct.CloseIdle()
+		}
 		return true
 	})
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -15,6 +15,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
 	"sassafrasring.dev/sassafrasring/internal/proc/disk"
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
@@ -52,6 +53,9 @@
 	History bool `cbor:"2,keyasint,omitempty"`
 	// Status requests the state of the replica.
 	Status bool `cbor:"3,keyasint,omitempty"`
+	// Evacuate is an operator's order to commit, Evacuations requests the set of evacuated zones.
+	Evacuate    *evac.Order `cbor:"10,keyasint,omitempty"`
+	Evacuations bool        `cbor:"11,keyasint,omitempty"`
 }
 
 // controlReply answers a controlRequest. If the replica is not the leader, Error is set and Leader
@@ -63,6 +67,9 @@
 	History []store.RoutesDoc  `cbor:"4,keyasint,omitempty"`
 	Version vers.RoutesVersion `cbor:"5,keyasint"`
 	Status  *ctrl.Status       `cbor:"6,keyasint,omitempty"`
+	// Evacuations is the committed set of evacuated zones; Refused says why an order cannot be carried out.
+	Evacuations *evac.Set `cbor:"10,keyasint,omitempty"`
+	Refused     string    `cbor:"11,keyasint,omitempty"`
 }
 
 // tableRequest asks a peer for its routing table if that is newer than Have.
@@ -156,6 +163,7 @@
 		Node: s.ID, Folder: &disk.Folder{Path: path, Node: s.ID, Founder: n.isFounder(), OpenLog: n.openLog, Stats: n.Stats},
 		Sender: n.raft, Clock: n.LeaseClock, Log: n.Log, CompactAfter: compactAfter, Ready: make(chan struct{}),
 		Hosts: n.replicaHosts, Tolerance: s.Tolerance, NoHub: true, RoutesChanged: n.installRoutes,
+		EvacuationsChanged: n.installEvacuations,
 	}
 	if n.isFounder() {
 		r.InitialVoters = s.Seeds
@@ -278,6 +286,9 @@
 		rep.Version, err = proposeRoutes(ctx, r, q.Apply)
 		return rep, err
 	}
+	if q.Evacuate != nil || q.Evacuations {
+		return n.executeEvacuation(ctx, r, q.Evacuate)
+	}
 	if !q.Status {
 		return n.readControl(ctx, r, q.History)
 	}
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -97,7 +97,7 @@
 	for i := range eff.Sends {
 		g.send(&eff.Sends[i])
 	}
-	if len(eff.Servers) > 0 || eff.Hosts || eff.NewerRoutesPeer != "" || len(eff.Faults) > 0 || len(eff.Notices) > 0 {
+	if len(eff.Servers) > 0 || eff.Hosts || eff.NewerRoutesPeer != "" || eff.NewerEvacuationsPeer != "" || len(eff.Faults) > 0 || len(eff.Notices) > 0 {
 		g.onChange(eff)
 	}
 	g.lastApplied.Store(int64(now))
--- a/internal/edge/keep.go
+++ b/internal/edge/keep.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/disk"
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
 	"sassafrasring.dev/sassafrasring/internal/proc/store"
@@ -19,6 +20,7 @@
 const (
 	tableFile   = "table"
 	membersFile = "members"
+	zonesFile   = "zones"
 )
 
 const (
@@ -36,12 +38,19 @@
 	Servers []spread.Server `cbor:"2,keyasint"`
 }
 
-// loadCopies restores the membership and the routing table that the host stored before its last
+// loadCopies restores the evacuated zones, the membership and the routing table that the host stored before its last
 // stop.
 func (n *Node) loadCopies() {
 	if n.Settings.Data == "" {
 		return
 	}
+	// First of all, so that no server in an evacuated zone is ever a candidate.
+	var zones evac.Set
+	if found, err := disk.LoadFile(filepath.Join(n.Settings.Data, zonesFile), &zones); found {
+		n.installEvacuations(zones)
+	} else if err != nil {
+		event.LocalCopyFailed.Log(n.Log, err, nil)
+	}
 	var m savedMembership
 	found, dropped, err := disk.LoadRecords(filepath.Join(n.Settings.Data, membersFile), &m)
 	if dropped > 0 {
@@ -60,10 +69,11 @@
 	}
 }
 
-// saveCopies writes copies of the routing table and of the membership to disk when they change. It
+// saveCopies writes copies of the routing table, the evacuated zones and the membership to disk when they change. It
 // runs in its own goroutine, so that slow writes delay neither requests nor the replica.
 func (n *Node) saveCopies(ctx context.Context) error {
 	savedVersion := n.routesVersion()
+	savedZones := n.evacuations.get().Version
 	var savedSum uint64
 	t := time.NewTicker(minCopyInterval)
 	defer t.Stop()
@@ -82,6 +92,9 @@
 		if v := n.routesVersion(); v > savedVersion && n.saveCopy(tableFile, n.table.Load().doc) {
 			savedVersion = v
 		}
+		if set := n.evacuations.get(); set.Version > savedZones && n.saveCopy(zonesFile, set) {
+			savedZones = set.Version
+		}
 		var m savedMembership
 		var currentSum uint64
 		n.gossip.withState(func(_ time.Duration, s *spread.State) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -91,6 +91,8 @@
 	forwarder    *reqst.Forwarder
 	workers      *work.Pool
 	table        atomic.Pointer[table]
+	evacuations  evacuations
+	cold         coldServers
 	tableChanged chan struct{}
 	fetching     atomic.Bool
 	stopping     atomic.Bool
@@ -121,7 +123,7 @@
 	n.workers = &work.Pool{}
 	n.buildLimits()
 	n.catalog = &catalog{
-		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
+		limits: &n.answers, evacuated: n.evacuations.has, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
 	}
 	if s := n.Settings.Source; s != "" {
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
@@ -145,13 +147,14 @@
 		kindControl: n.serveControl,
 		kindTable:   n.serveTable,
 		kindRelay:   n.serveRelay,
+		kindZones:   n.serveZones,
 	}
 	n.forwarder = &reqst.Forwarder{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
 		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
-		GraceLeft: n.graceLeft,
+		GraceLeft: n.graceLeft, Selection: selection{n},
 	}
 }
 
@@ -198,6 +201,7 @@
 // membershipChanged applies membership changes. It is called with the membership lock held.
 func (n *Node) membershipChanged(eff spread.Effects) {
 	if len(eff.Servers) > 0 {
+		n.serversWarm(eff.Servers)
 		n.catalog.update(n.withoutOdd(eff.Servers))
 		n.serversChanged(eff.Servers)
 	}
@@ -213,6 +217,9 @@
 	if eff.NewerRoutesPeer != "" {
 		n.fetchRoutes(n.ctx, eff.NewerRoutesPeer)
 	}
+	if eff.NewerEvacuationsPeer != "" {
+		n.fetchEvacuations(n.ctx, eff.NewerEvacuationsPeer)
+	}
 }
 
 // serverDied reports to the fleet that a server died while it processed a request with this
@@ -348,6 +355,7 @@
 			return ctx.Err()
 		case <-t.C:
 			n.catalog.closeExpired(time.Now())
+			n.cold.expire(n.Clock.Now())
 			n.publishActive()
 			if rounds++; rounds%forgetRounds == 0 {
 				n.forwarder.ForgetGone()
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/ctrl"
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/spread"
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -32,6 +33,8 @@
 	// Control is the leader's report on the control group; Problem says why it is missing.
 	Control *ctrl.Status `json:"control,omitempty"`
 	Problem string       `json:"problem,omitempty"`
+	// Evacuations is the set of evacuated zones in force at this node.
+	Evacuations evac.Set `json:"evacuations"`
 }
 
 // RoutesRevision is one routing table of the history.
@@ -50,12 +53,13 @@
 	g.PUT("/routes", n.putRoutes)
 	g.GET("/routes/history", n.getRoutesHistory)
 	g.GET("/metrics", n.Metrics)
+	n.zoneOps(g)
 }
 
 func (n *Node) getStatus(c echo.Context) error {
 	s := Status{
 		Node: n.Settings.ID, Name: n.Settings.Name, Boot: n.boot, Ready: n.Ready(), Stopping: n.Stopping(), Open: n.forwarder.Open(),
-		Routes: n.routesVersion(), Hosts: n.gossip.list(),
+		Routes: n.routesVersion(), Hosts: n.gossip.list(), Evacuations: n.evacuations.get(),
 	}
 	n.gossip.withState(func(_ time.Duration, st *spread.State) { s.Servers = st.Servers() })
 	ctx, cancel := context.WithTimeout(c.Request().Context(), opsTimeout)
@@ -136,6 +140,7 @@
 	for service, left := range n.forwarder.RemainingBudgets() {
 		set("budget_left", string(service), left)
 	}
+	n.zoneGauges()
 	hosts := map[spread.HostState]float64{}
 	for _, h := range n.gossip.list() {
 		hosts[h.State]++
--- a/internal/edge/own.go
+++ b/internal/edge/own.go
@@ -51,7 +51,7 @@
 	if err := lease.Check(a); err != nil {
 		return n.refuseAnnouncement(c, a.Server, err)
 	}
-	r := spread.Server{ID: a.Server, Born: a.BornMs, Seq: a.Sequence, Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots}
+	r := spread.Server{ID: a.Server, Born: a.BornMs, Seq: a.Sequence, Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots, ColdMs: a.ColdMs}
 	if a.Draining {
 		r.State = spread.ServerDraining
 	}
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -41,6 +41,8 @@
 	selfZone     tier.Zone
 	selfBusy     bool
 	busy, others zoneCounts
+	// known counts all hosts, also those that are down.
+	known zoneCounts
 }
 
 // share returns the share for a server in a zone; the shares of all hosts add up to one at most.
@@ -72,6 +74,7 @@
 	var s rateShares
 	for i := range hosts {
 		h := &hosts[i]
+		s.known.add(h.Zone)
 		if h.ID == self {
 			s.selfZone, s.selfBusy = h.Zone, h.Active
 		} else if r.left(now, h) {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -59,6 +60,8 @@
 	AnswerTTL time.Duration
 	// Budget limits extra sub-requests: hedges and retries.
 	Budget reqst.Allowance
+	// Cold bounds the requests to a cold server in any second; zero values mean the defaults.
+	Cold terms.ColdBound
 	// Cores is the CPU capacity in cores, which may be a fraction; Mbits is the link's bandwidth in
 	// Mbit/s. 0 means unknown.
 	Cores float64
--- a/internal/proc/ctrl/apply.go
+++ b/internal/proc/ctrl/apply.go
@@ -58,6 +58,7 @@
 	}
 	r.store, r.applied = st, s.Index
 	r.notifyRoutes()
+	r.notifyEvacuations()
 	event.SnapshotInstalled.Log(r.Log, nil, r.snapshotFields(s))
 	return nil
 }
@@ -100,6 +101,11 @@
 		event.RoutesAccepted.Log(r.Log, nil, logrus.Fields{"version": res.Routes.Version, "index": e.Index})
 		r.notifyRoutes()
 	}
+	if res.Evacuations != nil && res.Evacuations.Accepted {
+		set := r.store.Evacuations()
+		event.EvacuationAccepted.Log(r.Log, nil, logrus.Fields{"version": set.Version, "zones": set.Names(), "index": e.Index})
+		r.notifyEvacuations()
+	}
 	if v := r.store.Config().Version; v != before {
 		event.ConfigAccepted.Log(r.Log, nil, logrus.Fields{"version": v, "index": e.Index})
 	}
@@ -113,6 +119,13 @@
 	}
 }
 
+// notifyEvacuations calls EvacuationsChanged with the committed set of evacuated zones, if there has been one.
+func (r *Replica) notifyEvacuations() {
+	if e := r.store.Evacuations(); e.Version > 0 && r.EvacuationsChanged != nil {
+		r.EvacuationsChanged(e)
+	}
+}
+
 func (r *Replica) send(m quorum.Msg) {
 	if m.Kind == quorum.MsgSnap {
 		r.attachSnapshot(&m)
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -13,6 +13,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/internal/proc/disk"
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
 	"sassafrasring.dev/sassafrasring/internal/proc/roster"
@@ -72,6 +73,8 @@
 	// RoutesChanged, if not nil, is called with each newly committed routing table, and with the current one after
 	// the state has been read from disk or from a snapshot.
 	RoutesChanged func(store.RoutesDoc)
+	// EvacuationsChanged, if not nil, is called likewise with the set of evacuated zones.
+	EvacuationsChanged func(evac.Set)
 
 	core  quorum.Core
 	store *store.Store
@@ -187,6 +190,7 @@
 		return err
 	}
 	r.notifyRoutes()
+	r.notifyEvacuations()
 	if r.Ready != nil {
 		close(r.Ready)
 	}
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -98,6 +98,11 @@
 	RecordIgnored       = Event{318, logrus.WarnLevel, "membership record ignored", "A record in a packet of another node, or in the copy on the disk, cannot be decoded or names no server to use; the other records count. Limited, together with event 305, to 20 lines a second. Fields: source (the node that sent it or knows the server, or the file), records (how many); server if it can be decoded."}
 	AnswerDiscarded     = Event{319, logrus.WarnLevel, "stray answer discarded", "A server sent what does not answer the request that waited on the connection; the connection is closed. Limited, together with event 320, to 20 lines a second. Fields: server, conn (number of the connection among those of this host to the server), place (number of the request on the connection), request (that waited), kind (other: the answer names another request, or is signed and names none; unnamed: it is unsigned and names none; spliced: it breaks off and goes on with another answer; trailing: bytes after the answer), answer (ID in the answer), earlier (whether the connection has carried a request with that ID), status."}
 	RequestRepeated     = Event{320, logrus.InfoLevel, "request repeated at a server", "An idle connection has carried a request with the same ID, whose late second answer could be mistaken for the answer to this one; the request uses another connection. Fields: server, conn (that was passed over), request."}
+	EvacuationsInForce  = Event{335, logrus.WarnLevel, "evacuated zones changed", "This node sends nothing more to the servers of the listed zones. Fields: version (of the set), zones (all that are evacuated; empty if none is)."}
+	EvacuationAccepted  = Event{336, logrus.InfoLevel, "evacuation committed", "The control group has accepted a new set of evacuated zones. Fields: version, zones, index (of the log entry)."}
+	EvacuationNotKnown  = Event{337, logrus.WarnLevel, "evacuated zones not fetched", "A peer knows a newer set of evacuated zones but did not send it in time; the node tries again. Fields: peer."}
+	EvacuationRestored  = Event{338, logrus.ErrorLevel, "evacuated zones committed again", "The control leader's state lacked the set of evacuated zones in force: it came from a snapshot of an earlier build. The leader commits the set once more. Fields: version (in force), held (by the state)."}
+	ServerCold          = Event{339, logrus.InfoLevel, "server warms up", "A server stated to this node that it is cold, or that it is warm again. Fields: server, service, cold_ms (remaining; 0 once it is warm)."}
 	RecordFailed        = Event{309, logrus.WarnLevel, "write record failed", "The outcome could not be recorded in time; a resend of the write gets the outcome unknown. Fields: claim."}
 )
 
@@ -107,5 +112,6 @@
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
 	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive, RoutesRestored, SeedIgnored,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
+	EvacuationsInForce, EvacuationAccepted, EvacuationNotKnown, EvacuationRestored, ServerCold,
 	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored, AnswerDiscarded, RequestRepeated,
 }
--- a/internal/proc/spread/exchange.go
+++ b/internal/proc/spread/exchange.go
@@ -24,6 +24,10 @@
 	if p.Routes > s.routes {
 		s.effects.NewerRoutesPeer = p.From
 	}
+	s.heardEvacuations = max(s.heardEvacuations, p.Evacuations)
+	if p.Evacuations > s.evacuations {
+		s.effects.NewerEvacuationsPeer = p.From
+	}
 	s.receiveHosts(now, p.Hosts)
 	for i := range p.Servers {
 		s.putServer(now, p.Servers[i])
--- a/internal/proc/spread/packet.go
+++ b/internal/proc/spread/packet.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -30,6 +31,8 @@
 	Last bool `cbor:"13,keyasint,omitempty"`
 	// Notices tell what servers stated to the sender.
 	Notices []terms.Notice `cbor:"14,keyasint,omitempty"`
+	// Evacuations is the version of the sender's set of evacuated zones.
+	Evacuations evac.Version `cbor:"16,keyasint,omitempty"`
 }
 
 // Fault reports that a server failed while it ran a request.
@@ -61,6 +64,8 @@
 	Hosts bool
 	// NewerRoutesPeer is a peer that has a newer routing table; empty if none does.
 	NewerRoutesPeer tier.NodeID
+	// NewerEvacuationsPeer is a peer that has a newer set of evacuated zones; empty if none does.
+	NewerEvacuationsPeer tier.NodeID
 	// Faults and Notices were received from other nodes.
 	Faults  []Fault
 	Notices []terms.Notice
--- a/internal/proc/spread/record.go
+++ b/internal/proc/spread/record.go
@@ -100,6 +100,9 @@
 	ColdMs tier.Millis `cbor:"9,keyasint,omitempty" json:"cold_ms,omitempty"`
 	// Home is the host at which the server announces itself; that host expires the server's lease.
 	Home tier.NodeID `cbor:"10,keyasint" json:"home"`
+	// RestMs is the remaining warm-up time as of this version of the record; 0 once the server is warm. Unlike ColdMs, whose
+	// meaning earlier builds know, it changes whenever the server becomes cold or warm.
+	RestMs tier.Millis `cbor:"11,keyasint,omitempty" json:"rest_ms,omitempty"`
 }
 
 // Limits of a server's record.
@@ -123,7 +126,7 @@
 		return errors.Errorf("state: unknown number %d", s.State)
 	case s.Slots < 0 || s.Slots > maxSlots:
 		return errors.Errorf("slots: 0 to %d are allowed", maxSlots)
-	case s.ColdMs < 0 || s.ColdMs > maxCold:
+	case s.ColdMs < 0 || s.ColdMs > maxCold || s.RestMs < 0 || s.RestMs > maxCold:
 		return errors.Errorf("warm-up time: 0 to %d ms are allowed", maxCold)
 	}
 	for _, err := range []error{s.ID.Check(), s.Service.Check(), s.Zone.Check(), tier.CheckAddress(s.Address)} {
@@ -154,7 +157,7 @@
 	return s.Home < o.Home
 }
 
-// sameContent reports whether o differs from s in nothing that other hosts need: Seq and ColdMs are not compared.
+// sameContent reports whether o differs from s in nothing that other hosts need: Seq, ColdMs and RestMs are not compared.
 func (s *Server) sameContent(o *Server) bool {
 	return s.Born == o.Born && s.State == o.State && s.Service == o.Service && s.Address == o.Address &&
 		s.Zone == o.Zone && s.Slots == o.Slots && s.Home == o.Home
--- a/internal/proc/spread/state.go
+++ b/internal/proc/spread/state.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
@@ -81,7 +82,9 @@
 	// seq and lastAnnounced are of the latest announcement at this host, if it is the server's home.
 	seq           uint64
 	lastAnnounced time.Duration
-	downAt        time.Duration
+	// coldUntil is until when the record says that the server is cold.
+	coldUntil time.Duration
+	downAt    time.Duration
 }
 
 type push struct {
@@ -139,6 +142,8 @@
 	syncPeer      tier.NodeID
 	firstCompared time.Duration
 	heardRoutes   vers.RoutesVersion
+	// evacuations is the version of the set of evacuated zones in force, heardEvacuations the newest that others have named.
+	evacuations, heardEvacuations evac.Version
 	// ringCache is the hash ring of the live hosts; nil after a change, until it is needed again.
 	ringCache      []tier.NodeID
 	changedServers []tier.ServerID
@@ -204,6 +209,20 @@
 		return
 	}
 	s.routes = v
+	s.pushVersions(now)
+}
+
+// SetEvacuations records the version of the set of evacuated zones in force, which spreads like that of the routing table.
+func (s *State) SetEvacuations(now time.Duration, v evac.Version) {
+	if v <= s.evacuations {
+		return
+	}
+	s.evacuations = v
+	s.pushVersions(now)
+}
+
+// pushVersions sends every peer a packet, which names the versions in force, if this host has a control replica.
+func (s *State) pushVersions(now time.Duration) {
 	if s.self.Replica == "" {
 		return
 	}
@@ -218,11 +237,12 @@
 	return s.knowsOthers() && (!s.contacted || now-s.lastReceived > isolationTimeout)
 }
 
-// Current reports whether this host's records and routing table are those of the fleet, as far as
+// Current reports whether this host's records, routing table and evacuated zones are those of the fleet, as far as
 // others have told: after its start or a suspension a host has missed what was withdrawn meanwhile. A
 // host that hears of no other for syncTimeout relies on its own.
 func (s *State) Current(now time.Duration) bool {
-	return (s.synced && s.heardRoutes <= s.routes) || now-s.syncStarted >= syncTimeout || !s.knowsOthers()
+	known := s.heardRoutes <= s.routes && s.heardEvacuations <= s.evacuations
+	return (s.synced && known) || now-s.syncStarted >= syncTimeout || !s.knowsOthers()
 }
 
 func (s *State) knowsOthers() bool {
@@ -306,7 +326,7 @@
 	e.sum, e.bytes = digest(&r)
 	// A home that receives the record of its own server from a peer, after a restart, grants the server a full
 	// lease.
-	e.lastAnnounced = now
+	e.lastAnnounced, e.coldUntil = now, now+r.RestMs.Duration()
 	*s.digest.server(r.ID) += e.sum
 	s.lastChange = now
 	s.effects.Servers = append(s.effects.Servers, r)
@@ -323,16 +343,17 @@
 // record changed and is pushed to the peers. An announcement older than the record is ignored.
 func (s *State) Announce(now time.Duration, r Server) (changed bool) {
 	r.Home = s.self.ID
+	r.RestMs = r.ColdMs
 	e := s.servers[r.ID]
 	if e != nil && e.rec.Born == r.Born {
 		if e.rec.State == ServerGone || r.Seq < e.seq {
 			return false
 		}
-		if r.Seq <= e.rec.Seq && (!e.rec.Live() || !e.rec.sameContent(&r)) {
+		if r.Seq <= e.rec.Seq && (!e.rec.Live() || !e.unchanged(now, &r)) {
 			return false
 		}
 		e.seq, e.lastAnnounced = r.Seq, now
-		if e.rec.sameContent(&r) {
+		if e.unchanged(now, &r) {
 			return false
 		}
 		r.ColdMs = e.rec.ColdMs
@@ -455,5 +476,6 @@
 
 func (s *State) send(to tier.NodeID, p Packet) {
 	p.From, p.Boot, p.Routes = s.self.ID, s.self.Boot, s.routes
+	p.Evacuations = s.evacuations
 	s.effects.Sends = append(s.effects.Sends, Send{To: to, Packet: p})
 }
--- a/internal/proc/store/command.go
+++ b/internal/proc/store/command.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -20,6 +21,8 @@
 	Clear       *Clear       `cbor:"6,keyasint,omitempty"`
 	Sweep       *Sweep       `cbor:"7,keyasint,omitempty"`
 	Routes      *RoutesDoc   `cbor:"8,keyasint,omitempty"`
+	// Evacuations is the whole new set of evacuated zones. Builds that do not know it apply nothing.
+	Evacuations *evac.Set `cbor:"9,keyasint,omitempty"`
 }
 
 // WriteKey identifies a write: the caller's idempotency key, which is unique per account and service.
@@ -112,4 +115,6 @@
 	Change *ChangeResult `cbor:"1,keyasint,omitempty"`
 	Claim  *ClaimResult  `cbor:"2,keyasint,omitempty"`
 	Routes *RoutesResult `cbor:"3,keyasint,omitempty"`
+	// Evacuations is nil in builds that do not know evacuations.
+	Evacuations *EvacuationResult `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/proc/store/store.go
+++ b/internal/proc/store/store.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"sassafrasring.dev/sassafrasring/internal/frame"
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -59,6 +60,7 @@
 	claims      claimTable
 	poison      poisonTable
 	routes      []RoutesDoc
+	evacuations evac.Set
 }
 
 // New returns an empty store at configuration version 0.
@@ -98,6 +100,9 @@
 	case c.Routes != nil:
 		r := s.setRoutes(*c.Routes, c.NowMs)
 		return Result{Routes: &r}
+	case c.Evacuations != nil:
+		r := s.setEvacuations(*c.Evacuations)
+		return Result{Evacuations: &r}
 	case c.Sweep != nil:
 		s.sweep(c.NowMs)
 	}
@@ -202,6 +207,8 @@
 	Deaths     []death        `cbor:"7,keyasint"`
 	RestoredMs int64          `cbor:"8,keyasint,omitempty"`
 	Routes     []RoutesDoc    `cbor:"9,keyasint,omitempty"`
+	// Evacuations is nil if there has never been an order, so that the snapshot is that of an earlier build.
+	Evacuations *evac.Set `cbor:"10,keyasint,omitempty"`
 }
 
 // Save encodes the state as a snapshot.
@@ -209,6 +216,9 @@
 	v := snapshot{Config: s.config, History: s.history, Changes: s.changes, RestoredMs: s.claims.restoredMs, Routes: s.routes}
 	v.Claims, v.Tombstones = s.claims.list()
 	v.Poison, v.Deaths = s.poison.list(), s.poison.deaths
+	if s.evacuations.Version > 0 {
+		v.Evacuations = &s.evacuations
+	}
 	return frame.Marshal(v)
 }
 
@@ -227,6 +237,9 @@
 	s.claims.load(v.Claims, v.Tombstones, v.RestoredMs)
 	s.poison.load(v.Poison, v.Deaths)
 	s.routes = v.Routes
+	if v.Evacuations != nil {
+		s.evacuations = *v.Evacuations
+	}
 	return s, nil
 }
 
--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -91,12 +91,20 @@
 	Phase func(tier.ServerID) float64
 	// Born returns the start of a server in Unix milliseconds, as it announced it.
 	Born func(tier.ServerID) int64
+	// Cold returns the rate at which this host may send to a server that is cold; ok is false for a warm one. nil means that
+	// none is cold.
+	Cold func(now time.Duration, id tier.ServerID) (own Rate, ok bool)
 
 	servers map[tier.ServerID]*server
+	// cold holds the permits for servers that are or were cold.
+	cold map[tier.ServerID]*pacer
 }
 
 // Start clears the table. It must be called before first use.
-func (t *Table) Start() { t.servers = map[tier.ServerID]*server{} }
+func (t *Table) Start() {
+	t.servers = map[tier.ServerID]*server{}
+	t.cold = map[tier.ServerID]*pacer{}
+}
 
 // Forget drops the statements of all servers for which keep returns false.
 func (t *Table) Forget(keep func(tier.ServerID) bool) {
@@ -105,6 +113,11 @@
 			delete(t.servers, id)
 		}
 	}
+	for id := range t.cold {
+		if !keep(id) {
+			delete(t.cold, id)
+		}
+	}
 }
 
 // find returns the entry of a start of a server, which replaces one of an earlier start. It returns nil for an earlier
@@ -222,6 +235,12 @@
 
 // Allowed reports whether this host may send a request to a server now, and if not, when it may.
 func (t *Table) Allowed(now time.Duration, id tier.ServerID) (ok bool, next time.Duration) {
+	ok, next = t.allowedByStatements(now, id)
+	next = max(next, t.allowedCold(now, id))
+	return ok && next <= now, next
+}
+
+func (t *Table) allowedByStatements(now time.Duration, id tier.ServerID) (ok bool, next time.Duration) {
 	s := t.servers[id]
 	if s == nil || s.born < t.Born(id) {
 		return true, now
@@ -244,6 +263,7 @@
 
 // Take uses a permit for a request to a server.
 func (t *Table) Take(now time.Duration, id tier.ServerID) {
+	t.takeCold(now, id)
 	s := t.servers[id]
 	if s == nil {
 		return
--- a/internal/reqst/asking.go
+++ b/internal/reqst/asking.go
@@ -53,6 +53,9 @@
 // blameIfGone counts a death against the request if the server that broke its connection
 // no longer listens.
 func (d *Forwarder) blameIfGone(direct *conn.Direct, f tier.Fingerprint, id tier.ServerID) {
+	if d.restricted() && d.Selection.Evacuated(id) {
+		return
+	}
 	if direct.NotListening(d.base) && d.Blame(Death{Fingerprint: f, Server: id}) {
 		d.ServerDied(f, id)
 	}
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -126,6 +126,8 @@
 	Proof Proof
 	// Quota holds the tenants' quotas; nil means that there are none.
 	Quota Quota
+	// Selection restricts the choice of servers; nil restricts nothing.
+	Selection Selection
 	// Self is this node.
 	Self tier.NodeID
 	// RoutesRecent reports whether the routing table is recent enough to say that a route does not
@@ -140,7 +142,9 @@
 	failureLog     event.Limit
 	suspects       Suspects
 	terms          terms.Table
-	reach          reach.Board
+	// coldChoices counts the choices among servers of which some are cold.
+	coldChoices uint64
+	reach       reach.Board
 	// reachUpdated is when UpdateReach was last called.
 	reachUpdated time.Duration
 	relays       relayPeers
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -261,12 +261,17 @@
 	d := f.forwarder
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	i := d.Board.Pick(now, f.kind, list)
+	i, open := -1, list
+	if d.restricted() {
+		i, open = d.pickRestricted(now, f.kind, list)
+	} else {
+		i = d.Board.Pick(now, f.kind, list)
+	}
 	switch {
 	case i >= 0:
 		d.terms.Take(now, list[i].Server)
-	case len(list) > 0:
-		f.permitAt = d.nextPermit(now, list)
+	case len(open) > 0:
+		f.permitAt = d.nextPermit(now, open)
 		d.Stats.Count("limit_held", f.route.Name)
 	}
 	return i
--- /dev/null
+++ b/internal/reqst/select.go
@@ -0,0 +1,64 @@
+package reqst
+
+import (
+	"time"
+
+	"sassafrasring.dev/sassafrasring/internal/proc/pace"
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
+	"sassafrasring.dev/sassafrasring/pkg/tier"
+)
+
+// coldInterval is the number of choices among servers of which some are cold, of which one prefers a cold server: it warms up
+// by requests, but slows them down. The others use a cold server only if no warm one is allowed.
+const coldInterval = 4
+
+// Selection restricts the choice of servers. Its methods are called for every choice and must not block.
+type Selection interface {
+	// Restricted reports whether any zone is evacuated or any server cold.
+	Restricted() bool
+	// Evacuated reports whether a server's zone is evacuated.
+	Evacuated(id tier.ServerID) bool
+	// ColdRate returns the rate at which this node may send to a cold server; ok is false for a warm one.
+	ColdRate(now time.Duration, id tier.ServerID) (own terms.Rate, ok bool)
+}
+
+func (d *Forwarder) restricted() bool { return d.Selection != nil && d.Selection.Restricted() }
+
+// pickRestricted chooses a server of a list while some are evacuated or cold. It returns the index in the list, or -1, and the
+// servers that are not evacuated: the list of an open request was made when it arrived, and its later choices must keep to
+// orders that came in between. It is called with mu held.
+func (d *Forwarder) pickRestricted(now time.Duration, k pace.Timing, list []tier.Candidate) (at int, open []tier.Candidate) {
+	var warm, cold []tier.Candidate
+	for _, c := range list {
+		if d.Selection.Evacuated(c.Server) {
+			continue
+		}
+		open = append(open, c)
+		if _, isCold := d.Selection.ColdRate(now, c.Server); isCold {
+			cold = append(cold, c)
+		} else {
+			warm = append(warm, c)
+		}
+	}
+	order := [2][]tier.Candidate{warm, cold}
+	if len(cold) > 0 {
+		if d.coldChoices++; d.coldChoices%coldInterval == 0 {
+			order = [2][]tier.Candidate{cold, warm}
+		}
+	}
+	for _, part := range order {
+		if i := d.Board.Pick(now, k, part); i >= 0 {
+			return indexOf(list, part[i].Server), open
+		}
+	}
+	return -1, open
+}
+
+func indexOf(list []tier.Candidate, id tier.ServerID) int {
+	for i, c := range list {
+		if c.Server == id {
+			return i
+		}
+	}
+	return -1
+}
--- a/internal/reqst/terms.go
+++ b/internal/reqst/terms.go
@@ -19,6 +19,9 @@
 	if d.terms.Share == nil {
 		d.terms.Share = func(tier.ServerID) float64 { return 1 }
 	}
+	if d.Selection != nil {
+		d.terms.Cold = d.Selection.ColdRate
+	}
 	d.terms.Start()
 	d.Board.Allowed = func(now time.Duration, id tier.ServerID) bool {
 		ok, _ := d.terms.Allowed(now, id)
--- a/internal/setup/edge.go
+++ b/internal/setup/edge.go
@@ -27,6 +27,7 @@
 	GraceMs            tier.Millis   `json:"grace_ms" doc:"Time from SIGTERM to the end of the process." unit:"ms" allow:"1000 to 600000" default:"6000"`
 	TTLMs              tier.Millis   `json:"ttl_ms" doc:"How long callers may cache the list of nodes to use." unit:"ms" allow:"100 to 60000" default:"5000"`
 	Repeats            Repeats       `json:"repeats" doc:"Budget for sub-requests beyond the first of each request, per service over the whole fleet."`
+	Cold               Cold          `json:"cold" doc:"Bound of the requests to a cold server in any second, for services whose routing table entry has a rate for cold servers."`
 	Limits             EdgeLimits    `json:"limits" doc:"Limits on callers where the routing table sets none, and limits of the process."`
 	Answers            Answers       `json:"answers" doc:"Limits on servers' answers; one that exceeds them ends its connection."`
 	TLS                TLS           `json:"tls" doc:"Certificate for connections between nodes; empty means a certificate generated at start and no verification, for networks that only the nodes can reach."`
@@ -40,6 +41,12 @@
 	WindowMs tier.Millis `json:"window_ms" doc:"Sliding window over which both apply." unit:"ms" allow:"1000 to 600000" default:"10000"`
 }
 
+// Cold bounds the requests to a cold server in any second.
+type Cold struct {
+	Percent int `json:"percent" doc:"Bound as a share of the rate that the routing table sets for cold servers." unit:"%" allow:"100 to 1000" default:"150"`
+	Fixed   int `json:"fixed" doc:"Number of requests allowed in addition to the share." allow:"1 to 1000000" default:"5"`
+}
+
 // EdgeLimits holds the limits on callers' requests and connections and the memory limit of the process.
 type EdgeLimits struct {
 	BodyBytes   int64       `json:"body_bytes" doc:"Largest request body." unit:"bytes" allow:"1024 to 16777216" default:"8388608"`
@@ -55,6 +62,7 @@
 	return Edge{
 		LinkPort: 7740, GossipPort: 7741, Tolerance: 1, AnnounceIntervalMs: 1000, GraceMs: 6000, TTLMs: 5000,
 		Repeats: Repeats{Percent: 10, Fixed: 50, WindowMs: 10000},
+		Cold:    Cold{Percent: 150, Fixed: 5},
 		Limits:  EdgeLimits{BodyBytes: 8 << 20, HeaderBytes: 64 << 10, ReadMs: 10000, BodyMs: 30000, IdleMs: 75000},
 		Answers: AnswerDefaults(),
 		Log:     Log{Level: "info", Format: "json"},
@@ -117,6 +125,8 @@
 	c.number("repeats.percent", int64(s.Repeats.Percent), 0, 100)
 	c.number("repeats.fixed", int64(s.Repeats.Fixed), 0, 1000000)
 	c.number("repeats.window_ms", int64(s.Repeats.WindowMs), 1000, 600000)
+	c.number("cold.percent", int64(s.Cold.Percent), 100, 1000)
+	c.number("cold.fixed", int64(s.Cold.Fixed), 1, 1000000)
 	c.number("limits.body_bytes", s.Limits.BodyBytes, 1024, 16<<20)
 	c.number("limits.header_bytes", int64(s.Limits.HeaderBytes), 1024, 1<<20)
 	c.number("limits.read_ms", int64(s.Limits.ReadMs), 100, 60000)
--- a/pkg/tier/outcome.go
+++ b/pkg/tier/outcome.go
@@ -149,6 +149,8 @@
 	// one start. Edge nodes require both.
 	BornMs   int64  `json:"born_ms,omitempty" cbor:"11,keyasint,omitempty"`
 	Sequence uint64 `json:"sequence,omitempty" cbor:"12,keyasint,omitempty"`
+	// ColdMs is the remaining warm-up time of a server that is cold. Edge nodes use it.
+	ColdMs Millis `json:"cold_ms,omitempty" cbor:"13,keyasint,omitempty"`
 }
 
 // AnnounceAnswer is the answer to an Announcement: the lease of the server's registration and the addresses of the
