edge: shares of cold servers' rates follow the traffic, and stay below one in a partition

Cause: equal shares of all hosts leave most of a cold server's rate unused when callers use few hosts. Change: busy hosts have the larger part; while a host is down, which hosts are busy counts as of before; a server that died counts as cold until its next record.

--- a/internal/edge/cold.go
+++ b/internal/edge/cold.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,19 @@
 	return changed
 }
 
+// suspect counts a server as cold for a time, unless it is known to be cold: until its next record.
+func (c *coldServers) suspect(rec spread.Server, until time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.list == nil {
+		c.list = map[tier.ServerID]*coldServer{}
+	}
+	if c.list[rec.ID] == nil {
+		c.list[rec.ID] = &coldServer{rec: rec, until: until}
+		c.count.Store(int64(len(c.list)))
+	}
+}
+
 // expire drops the servers whose warm-up time is over, so that choices are unrestricted again.
 func (c *coldServers) expire(now time.Duration) {
 	c.mu.Lock()
@@ -99,6 +113,15 @@
 	}
 }
 
+// serverRestarts counts a server that died some time ago as cold for as long as its record may outlive it: if it is restarted
+// in that time, requests may reach it before its first announcement does.
+func (n *Node) serverRestarts(id tier.ServerID, ago time.Duration) {
+	hold := leaseIntervals*n.Settings.AnnounceInterval - ago
+	if t := n.catalog.target(id); t != nil && hold > 0 {
+		n.cold.suspect(t.rec, n.Clock.Now()+hold)
+	}
+}
+
 // coldRate returns the rate at which this host may send to a cold server by the routing table and the list of hosts.
 func (n *Node) coldRate(r *spread.Server) (own terms.Rate, ok bool) {
 	t := n.Routes()
@@ -109,8 +132,8 @@
 	if b == nil || b.ColdRate <= 0 {
 		return 0, false
 	}
-	share, groups := n.gossip.limitShares().coldShare(r.Zone)
-	return terms.ColdRate(b.ColdRate, n.Settings.coldBound(), groups) * terms.Rate(share), true
+	shares := n.gossip.coldShares()
+	return terms.ColdRate(b.ColdRate, n.Settings.coldBound(), shares.groups(r.Zone)) * terms.Rate(shares.share(r.Zone)), true
 }
 
 // Bounds of a cold server's rate if the settings have none.
@@ -131,16 +154,45 @@
 	return b
 }
 
-// coldShare returns this host's share of a cold server's rate, and the shares of all hosts. They depend neither on the traffic
-// of the hosts nor on whether they are up, so that they add up to one at most also while the fleet is partitioned.
-func (r *rateShares) coldShare(z tier.Zone) (own float64, groups []terms.HostGroup) {
-	unit := 1 / max(1, r.known.weight(z))
-	same := r.known.zones[z]
-	groups = []terms.HostGroup{{Hosts: same, Share: sameZoneWeight * unit}, {Hosts: r.known.all - same, Share: unit}}
-	if z == r.selfZone && same > 0 {
-		return sameZoneWeight * unit, groups
+// updateCold returns the shares in cold servers' rates for a new list of hosts. Hosts that are down keep theirs, as they may be
+// partitioned off and send to servers; meanwhile a host that becomes busy does not get the share of a busy one, as the others would
+// not know. The shares thus add up to one at most on both sides of a partition.
+func (r *shareTracker) updateCold(self tier.NodeID, hosts []spread.Host) rateShares {
+	if r.cold == nil || !slices.ContainsFunc(hosts, func(h spread.Host) bool { return h.State == spread.HostDown }) {
+		r.cold = map[tier.NodeID]bool{}
+		for i := range hosts {
+			if hosts[i].Active {
+				r.cold[hosts[i].ID] = true
+			}
+		}
+	}
+	var s rateShares
+	for i := range hosts {
+		h := &hosts[i]
+		busy := r.cold[h.ID]
+		if h.ID == self {
+			s.selfZone, s.selfBusy = h.Zone, busy
+		}
+		if busy {
+			s.busy.add(h.Zone)
+		} else {
+			s.others.add(h.Zone)
+		}
+	}
+	return s
+}
+
+// groups returns the shares of all hosts for a server in a zone.
+func (r *rateShares) groups(z tier.Zone) (out []terms.HostGroup) {
+	for _, busy := range []bool{true, false} {
+		count := &r.others
+		if busy {
+			count = &r.busy
+		}
+		near := count.zones[z]
+		out = append(out, terms.HostGroup{Hosts: near, Share: r.shareOf(busy, true, z)}, terms.HostGroup{Hosts: count.all - near, Share: r.shareOf(busy, false, z)})
 	}
-	return unit, groups
+	return out
 }
 
 // selection restricts the choice of servers to those that are not evacuated, and names the cold ones.
--- a/internal/edge/cold_test.go
+++ b/internal/edge/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,9 +32,8 @@
 	}
 	for i := range n {
 		var tracker shareTracker
-		shares := tracker.update(0, f.hosts[i].ID, f.hosts)
-		share, groups := shares.coldShare("z0")
-		own := terms.ColdRate(tolerated, bound, groups) * terms.Rate(share)
+		shares := tracker.updateCold(f.hosts[i].ID, f.hosts)
+		own := terms.ColdRate(tolerated, bound, shares.groups("z0")) * terms.Rate(shares.share("z0"))
 		phase := random.Float64()
 		table := &terms.Table{
 			Share: func(tier.ServerID) float64 { return 1 }, Phase: func(tier.ServerID) float64 { return phase },
@@ -56,19 +56,20 @@
 			for _, c := range []struct {
 				name string
 				// wants reports whether a host has a request at a time.
-				wants func(random *rand.Rand, now time.Duration) bool
+				wants func(random *rand.Rand, host int, now time.Duration) bool
 				least float64
 			}{
-				{"always", func(*rand.Rand, time.Duration) bool { return true }, 0.55},
-				{"twice a second", func(r *rand.Rand, _ time.Duration) bool { return r.IntN(100) == 0 }, 0},
-				{"all at once, now and then", func(_ *rand.Rand, now time.Duration) bool { return now%(700*time.Millisecond) == 0 }, 0},
+				{"always", func(*rand.Rand, int, time.Duration) bool { return true }, 0.55},
+				{"busy hosts", func(_ *rand.Rand, host int, _ time.Duration) bool { return host%5 == 0 }, 0.5},
+				{"twice a second", func(r *rand.Rand, _ int, _ time.Duration) bool { return r.IntN(100) == 0 }, 0},
+				{"all at once, now and then", func(_ *rand.Rand, _ int, now time.Duration) bool { return now%(700*time.Millisecond) == 0 }, 0},
 			} {
 				random := rand.New(rand.NewPCG(uint64(hosts), uint64(tolerated)))
 				f := newColdFleet(random, hosts, hosts/2+1, tolerated, bound)
 				var sent []time.Duration
 				for now := time.Duration(0); now < runTime; now += step {
-					for _, table := range f.tables {
-						if !c.wants(random, now) {
+					for host, table := range f.tables {
+						if !c.wants(random, host, now) {
 							continue
 						}
 						if ok, _ := table.Allowed(now, "s"); ok {
@@ -85,6 +86,31 @@
 	}
 }
 
+// TestColdSharesDuringAPartition guards against two halves of a fleet that each use the whole rate, also if callers move to hosts that
+// were idle before.
+func TestColdSharesDuringAPartition(t *testing.T) {
+	var hosts []spread.Host
+	for i := range 12 {
+		hosts = append(hosts, spread.Host{ID: tier.NodeID(fmt.Sprint("h", i)), Zone: tier.Zone(fmt.Sprint("z", i%3)), Active: i < 4})
+	}
+	sum := 0.0
+	for self := range hosts {
+		var tracker shareTracker
+		tracker.updateCold(hosts[self].ID, hosts)
+		seen := slices.Clone(hosts)
+		for i := range seen {
+			if i%2 != self%2 {
+				seen[i].State = spread.HostDown
+			} else {
+				seen[i].Active = true
+			}
+		}
+		shares := tracker.updateCold(hosts[self].ID, seen)
+		sum += shares.share("z1")
+	}
+	require.InDelta(t, 1, sum, 1e-9)
+}
+
 // mostInASecond returns the greatest number of times within a second.
 func mostInASecond(sent []time.Duration) (most int) {
 	first := 0
@@ -125,7 +151,13 @@
 		require.Equal(t, c.cold, s.count.Load() == 1, c.name)
 	}
 	var s coldServers
+	s.suspect(rec(0, spread.ServerReady)[0], 4*time.Second)
+	_, cold := s.rate(3*time.Second, "s", limited)
+	require.True(t, cold, "it died and may be back before its announcement")
+	s.update(3*time.Second, rec(0, spread.ServerReady))
+	_, cold = s.rate(3*time.Second, "s", limited)
+	require.False(t, cold, "its new announcement says that it is warm")
 	s.update(0, rec(5000, spread.ServerReady))
-	_, cold := s.rate(0, "s", func(*spread.Server) (terms.Rate, bool) { return 0, false })
+	_, cold = s.rate(0, "s", func(*spread.Server) (terms.Rate, bool) { return 0, false })
 	require.False(t, cold, "its service has no rate for cold servers")
 }
--- a/internal/edge/evac.go
+++ b/internal/edge/evac.go
@@ -98,6 +98,8 @@
 		}
 		return evac.Set{}, errors.Wrapf(ErrInvalidEvacuation, "zone %q: no host and no server names it", o.Zone)
 	}
+	ctx, cancel := context.WithTimeout(ctx, opsTimeout)
+	defer cancel()
 	rep, err := n.callLeader(ctx, controlRequest{Evacuate: &o})
 	switch {
 	case err != nil:
@@ -160,9 +162,10 @@
 			next = inForce
 		}
 		if o != nil {
-			if next, _, err = next.With(*o, time.Now().UnixMilli()); err != nil {
-				return controlReply{Refused: err.Error()}, nil
+			if why := next.Refusal(*o); why != "" {
+				return controlReply{Refused: why}, nil
 			}
+			next, _ = next.With(*o, time.Now().UnixMilli())
 		}
 		if next.Version == held.Version {
 			return controlReply{Evacuations: &next}, nil
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -46,6 +46,7 @@
 	// shareTracker computes cachedShares from the list of hosts; it is guarded by mu.
 	shareTracker shareTracker
 	cachedShares atomic.Pointer[rateShares]
+	cachedCold   atomic.Pointer[rateShares]
 	// isCurrent is State.Current at lastApplied, a time of clock; currentChanged is signalled when it
 	// changes.
 	isCurrent      atomic.Bool
@@ -93,6 +94,8 @@
 		g.cachedCounts.Store(&c)
 		shares := g.shareTracker.update(now, g.settings.ID, list)
 		g.cachedShares.Store(&shares)
+		cold := g.shareTracker.updateCold(g.settings.ID, list)
+		g.cachedCold.Store(&cold)
 	}
 	for i := range eff.Sends {
 		g.send(&eff.Sends[i])
@@ -197,6 +200,14 @@
 	return &rateShares{}
 }
 
+// coldShares returns the shares of the hosts in cold servers' rates.
+func (g *gossip) coldShares() *rateShares {
+	if s := g.cachedCold.Load(); s != nil {
+		return s
+	}
+	return &rateShares{}
+}
+
 // countHosts counts the live hosts, including this one.
 func (g *gossip) countHosts(list []spread.Host) (c hostCounts) {
 	for i := range list {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -201,8 +201,9 @@
 // membershipChanged applies membership changes. It is called with the membership lock held.
 func (n *Node) membershipChanged(eff spread.Effects) {
 	if len(eff.Servers) > 0 {
-		n.serversWarm(eff.Servers)
-		n.catalog.update(n.withoutOdd(eff.Servers))
+		list := n.withoutOdd(eff.Servers)
+		n.serversWarm(list)
+		n.catalog.update(list)
 		n.serversChanged(eff.Servers)
 	}
 	if eff.Hosts {
@@ -210,6 +211,7 @@
 	}
 	for _, f := range eff.Faults {
 		n.forwarder.Blame(reqst.Death{Fingerprint: f.Fingerprint, Server: f.Server, Age: f.AgeMs.Duration()})
+		n.serverRestarts(f.Server, f.AgeMs.Duration())
 	}
 	for _, t := range eff.Notices {
 		n.forwarder.ReceiveNotice(t)
@@ -226,6 +228,7 @@
 // fingerprint.
 func (n *Node) serverDied(f tier.Fingerprint, id tier.ServerID) {
 	event.ServerDied.Log(n.Log, nil, logrus.Fields{"server": id, "fingerprint": f})
+	n.serverRestarts(id, 0)
 	n.workers.Go(func() {
 		n.gossip.withState(func(now time.Duration, s *spread.State) { s.ReportFault(now, spread.Fault{Fingerprint: f, Server: id}) })
 	})
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -41,21 +41,22 @@
 	selfZone     tier.Zone
 	selfBusy     bool
 	busy, others zoneCounts
-	// known counts all hosts, also those that are down.
-	known zoneCounts
 }
 
 // share returns the share for a server in a zone; the shares of all hosts add up to one at most.
-func (r *rateShares) share(z tier.Zone) float64 {
+func (r *rateShares) share(z tier.Zone) float64 { return r.shareOf(r.selfBusy, z == r.selfZone, z) }
+
+// shareOf returns the share of a host that is busy or not, and in the server's zone or not.
+func (r *rateShares) shareOf(busy, near bool, z tier.Zone) float64 {
 	group, part := &r.others, 1-busyShare
-	if r.selfBusy {
+	if busy {
 		group, part = &r.busy, busyShare
 	}
 	if r.busy.all == 0 || r.others.all == 0 {
 		part = 1
 	}
 	own := 1.0
-	if z == r.selfZone {
+	if near {
 		own = sameZoneWeight
 	}
 	return part * own / max(own, group.weight(z))
@@ -64,6 +65,8 @@
 // shareTracker keeps track of the hosts that share servers' limits. It does no I/O and is not safe for concurrent use.
 type shareTracker struct {
 	downSince map[tier.NodeID]time.Duration
+	// cold are the hosts that were busy while none was down.
+	cold map[tier.NodeID]bool
 }
 
 // update returns the shares for a new list of hosts.
@@ -74,7 +77,6 @@
 	var s rateShares
 	for i := range hosts {
 		h := &hosts[i]
-		s.known.add(h.Zone)
 		if h.ID == self {
 			s.selfZone, s.selfBusy = h.Zone, h.Active
 		} else if r.left(now, h) {
--- a/internal/edge/zones.go
+++ b/internal/edge/zones.go
@@ -57,9 +57,7 @@
 		if err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
-		ctx, cancel := context.WithTimeout(c.Request().Context(), opsTimeout)
-		defer cancel()
-		set, err := n.OrderEvacuation(ctx, evac.Order{
+		set, err := n.OrderEvacuation(c.Request().Context(), evac.Order{
 			Zone: tier.Zone(zone), Restore: restore, Author: tier.Operator(c.QueryParam("author")), Reason: c.QueryParam("reason"),
 		})
 		if err != nil {
--- a/internal/proc/evac/evac.go
+++ b/internal/proc/evac/evac.go
@@ -3,6 +3,7 @@
 package evac
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -58,15 +59,20 @@
 	return slices.BinarySearchFunc(s.Zones, z, func(e Entry, z tier.Zone) int { return strings.Compare(string(e.Zone), string(z)) })
 }
 
+// Refusal says why an order cannot be carried out on the set; it is empty if it can.
+func (s *Set) Refusal(o Order) string {
+	if !o.Restore && !s.Has(o.Zone) && len(s.Zones) >= MaxZones {
+		return fmt.Sprintf("at most %d zones can be evacuated", MaxZones)
+	}
+	return ""
+}
+
 // With returns the set after an order. changed is false if the set is already as ordered; it then keeps its version and the
 // first author.
-func (s *Set) With(o Order, nowMs int64) (next Set, changed bool, err error) {
+func (s *Set) With(o Order, nowMs int64) (next Set, changed bool) {
 	i, found := s.find(o.Zone)
-	switch {
-	case found != o.Restore:
-		return *s, false, nil
-	case !o.Restore && len(s.Zones) >= MaxZones:
-		return *s, false, errors.Errorf("at most %d zones can be evacuated", MaxZones)
+	if found != o.Restore {
+		return *s, false
 	}
 	next = Set{Version: s.Version + 1, Zones: slices.Clone(s.Zones)}
 	if o.Restore {
@@ -74,7 +80,7 @@
 	} else {
 		next.Zones = slices.Insert(next.Zones, i, Entry{Zone: o.Zone, Author: o.Author, Reason: o.Reason, AtMs: nowMs})
 	}
-	return next, true, nil
+	return next, true
 }
 
 // Names returns the names of the evacuated zones.
--- a/internal/proc/evac/evac_test.go
+++ b/internal/proc/evac/evac_test.go
@@ -26,8 +26,7 @@
 		{Order{Zone: "a", Restore: true}, true, "b c"},
 		{Order{Zone: "a", Restore: true}, false, "b c"},
 	} {
-		next, changed, err := s.With(c.order, int64(i))
-		require.NoError(t, err)
+		next, changed := s.With(c.order, int64(i))
 		require.Equal(t, c.changed, changed, i)
 		require.Equal(t, changed, next.Version == s.Version+1, i)
 		var names []string
@@ -46,10 +45,10 @@
 func TestOddOrders(t *testing.T) {
 	var s Set
 	for i := range MaxZones {
-		s, _, _ = s.With(Order{Zone: tier.Zone(fmt.Sprint("z", i))}, 0)
+		s, _ = s.With(Order{Zone: tier.Zone(fmt.Sprint("z", i))}, 0)
 	}
-	_, _, err := s.With(Order{Zone: "one more"}, 0)
-	require.Error(t, err)
+	require.NotEmpty(t, s.Refusal(Order{Zone: "one more"}))
+	require.Empty(t, s.Refusal(Order{Zone: "z7"}), "a resent order needs no room")
 	for _, z := range []tier.Zone{"", tier.Zone(strings.Repeat("z", 1000))} {
 		require.Error(t, (&Order{Zone: z}).Check())
 	}
--- a/internal/proc/store/evac_test.go
+++ b/internal/proc/store/evac_test.go
@@ -14,8 +14,7 @@
 func order(t *testing.T, s *Store, zone string, restore bool) Result {
 	t.Helper()
 	held := s.Evacuations()
-	next, changed, err := held.With(evac.Order{Zone: tier.Zone(zone), Restore: restore}, 1)
-	require.NoError(t, err)
+	next, changed := held.With(evac.Order{Zone: tier.Zone(zone), Restore: restore}, 1)
 	if !changed {
 		return Result{}
 	}
@@ -26,8 +25,7 @@
 // lost with a snapshot.
 func TestResentOrdersChangeNothing(t *testing.T) {
 	s := New()
-	first, _, err := new(evac.Set).With(evac.Order{Zone: "a"}, 1)
-	require.NoError(t, err)
+	first, _ := new(evac.Set).With(evac.Order{Zone: "a"}, 1)
 	for i := range 3 {
 		require.Equal(t, i == 0, s.Apply(Command{Evacuations: &first}).Evacuations.Accepted)
 		s = reload(t, s)
@@ -49,8 +47,8 @@
 // that it was not accepted, so that it is derived again.
 func TestRacingOrdersOneWins(t *testing.T) {
 	s := New()
-	a, _, _ := new(evac.Set).With(evac.Order{Zone: "a"}, 1)
-	b, _, _ := new(evac.Set).With(evac.Order{Zone: "b"}, 1)
+	a, _ := new(evac.Set).With(evac.Order{Zone: "a"}, 1)
+	b, _ := new(evac.Set).With(evac.Order{Zone: "b"}, 1)
 	require.True(t, s.Apply(Command{Evacuations: &a}).Evacuations.Accepted)
 	r := s.Apply(Command{Evacuations: &b}).Evacuations
 	require.False(t, r.Accepted)
@@ -82,8 +80,7 @@
 	require.NotContains(t, keys, 10)
 
 	// This replica has lost the first set with a snapshot of an earlier build; the next set is complete.
-	next, _, err := set.With(evac.Order{Zone: "b"}, 1)
-	require.NoError(t, err)
+	next, _ := set.With(evac.Order{Zone: "b"}, 1)
 	require.True(t, s.Apply(Command{Evacuations: &next}).Evacuations.Accepted)
 	held := s.Evacuations()
 	require.Equal(t, []tier.Zone{"a", "b"}, held.Names())
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -261,12 +261,7 @@
 	d := f.forwarder
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	i, open := -1, list
-	if d.restricted() {
-		i, open = d.pickRestricted(now, f.kind, list)
-	} else {
-		i = d.Board.Pick(now, f.kind, list)
-	}
+	i, open := d.pick(now, f.kind, list)
 	switch {
 	case i >= 0:
 		d.terms.Take(now, list[i].Server)
--- a/internal/reqst/select.go
+++ b/internal/reqst/select.go
@@ -22,11 +22,18 @@
 	ColdRate(now time.Duration, id tier.ServerID) (own terms.Rate, ok bool)
 }
 
+// pick chooses a server of a list. It returns its index, or -1, and the servers that are not evacuated. It is called with mu held.
+func (d *Forwarder) pick(now time.Duration, k pace.Timing, list []tier.Candidate) (at int, open []tier.Candidate) {
+	if d.restricted() {
+		return d.pickRestricted(now, k, list)
+	}
+	return d.Board.Pick(now, k, list), list
+}
+
 func (d *Forwarder) restricted() bool { return d.Selection != nil && d.Selection.Restricted() }
 
-// pickRestricted chooses a server of a list while some are evacuated or cold. It returns the index in the list, or -1, and the
-// servers that are not evacuated: the list of an open request was made when it arrived, and its later choices must keep to
-// orders that came in between. It is called with mu held.
+// pickRestricted is pick while some zone is evacuated or some server cold: the list of an open request was made when it arrived,
+// and its later choices must keep to orders that came in between.
 func (d *Forwarder) pickRestricted(now time.Duration, k pace.Timing, list []tier.Candidate) (at int, open []tier.Candidate) {
 	var warm, cold []tier.Candidate
 	for _, c := range list {
