--- a/internal/edge/cold.go
+++ b/internal/edge/cold.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
@@ -23,12 +26,12 @@
 
 // coldServer is a server that has stated that it is cold.
 type coldServer struct {
-	rec   spread.Server
-	until time.Duration
-	// own is this host's rate until ownUntil; limited is false if the service's cold servers have no rate.
-	own      terms.Rate
-	limited  bool
-	ownUntil time.Duration
+	rec          spread.Server
+	since, until time.Duration
+	// share is what this host may send until shareUntil; limited is false if the service's cold servers have no rate.
+	share      terms.Cold
+	limited    bool
+	shareUntil time.Duration
 }
 
 // coldServers holds the cold servers. Lock order: mu is taken last.
@@ -47,29 +50,34 @@
 	}
 	for i := range records {
 		r := &records[i]
-		_, was := c.list[r.ID]
+		old := c.list[r.ID]
 		is := r.Live() && r.RestMs > 0
-		if is != was {
+		if is != (old != nil) {
 			changed = append(changed, *r)
 		}
 		delete(c.list, r.ID)
-		if is {
-			c.list[r.ID] = &coldServer{rec: *r, until: now + r.RestMs.Duration() + coldMargin}
+		if !is {
+			continue
 		}
+		s := &coldServer{rec: *r, since: now, until: now + r.RestMs.Duration() + coldMargin}
+		if old != nil && old.rec.Born == r.Born {
+			s.since = old.since
+		}
+		c.list[r.ID] = s
 	}
 	c.count.Store(int64(len(c.list)))
 	return changed
 }
 
 // suspect counts a server as cold for a time, unless it is known to be cold: until its next record.
-func (c *coldServers) suspect(rec spread.Server, until time.Duration) {
+func (c *coldServers) suspect(now time.Duration, rec spread.Server, hold time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.list == nil {
 		c.list = map[tier.ServerID]*coldServer{}
 	}
 	if c.list[rec.ID] == nil {
-		c.list[rec.ID] = &coldServer{rec: rec, until: until}
+		c.list[rec.ID] = &coldServer{rec: rec, since: now, until: now + hold}
 		c.count.Store(int64(len(c.list)))
 	}
 }
@@ -86,22 +94,23 @@
 	c.count.Store(int64(len(c.list)))
 }
 
-// rate returns this host's rate for a server that is cold; compute returns it for a server's record.
-func (c *coldServers) rate(now time.Duration, id tier.ServerID, compute func(*spread.Server) (terms.Rate, bool)) (own terms.Rate, ok bool) {
+// get returns what this host may send to a server that is cold; compute returns it for a server's record.
+func (c *coldServers) get(now time.Duration, id tier.ServerID, compute func(*spread.Server) (terms.Cold, bool)) (share terms.Cold, ok bool) {
 	if c.count.Load() == 0 {
-		return 0, false
+		return share, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.list[id]
 	if s == nil || now >= s.until {
-		return 0, false
+		return share, false
 	}
-	if now >= s.ownUntil {
-		s.own, s.limited = compute(&s.rec)
-		s.ownUntil = now + coldRateTTL
+	if now >= s.shareUntil {
+		s.share, s.limited = compute(&s.rec)
+		s.share.Since = s.since
+		s.shareUntil = now + coldRateTTL
 	}
-	return s.own, s.limited
+	return s.share, s.limited
 }
 
 // serversWarm keeps track of which servers are cold.
@@ -118,22 +127,41 @@
 func (n *Node) serverRestarts(id tier.ServerID, ago time.Duration) {
 	hold := leaseIntervals*n.Settings.AnnounceInterval - ago
 	if t := n.catalog.target(id); t != nil && hold > 0 {
-		n.cold.suspect(t.rec, n.Clock.Now()+hold)
+		n.cold.suspect(n.Clock.Now(), t.rec, hold)
 	}
 }
 
-// coldRate returns the rate at which this host may send to a cold server by the routing table and the list of hosts.
-func (n *Node) coldRate(r *spread.Server) (own terms.Rate, ok bool) {
+// coldShare returns what this host may send to a cold server by the routing table and the list of hosts.
+func (n *Node) coldShare(r *spread.Server) (c terms.Cold, ok bool) {
 	t := n.Routes()
 	if t == nil {
-		return 0, false
+		return c, false
 	}
 	b := t.Backend(r.Service)
 	if b == nil || b.ColdRate <= 0 {
-		return 0, false
+		return c, false
 	}
-	shares := n.gossip.coldShares()
-	return terms.ColdRate(b.ColdRate, n.Settings.coldBound(), shares.groups(r.Zone)) * terms.Rate(shares.share(r.Zone)), true
+	return n.gossip.coldShares().cold(r, b.ColdRate, n.Settings.coldBound()), true
+}
+
+// cold returns what a host may send to a cold server that tolerates a rate.
+func (r *rateShares) cold(s *spread.Server, tolerated float64, b terms.ColdBound) terms.Cold {
+	rate := terms.ColdRate(tolerated, b, r.groups(s.Zone))
+	return terms.Cold{Own: rate * terms.Rate(r.share(s.Zone)), Phase: r.phase(s.Zone, s.ID)}
+}
+
+// phase returns the place of this host among those with the same share, from 0 to 1, turned by a number of the server's.
+func (r *rateShares) phase(z tier.Zone, id tier.ServerID) float64 {
+	group := &r.others
+	if r.selfBusy {
+		group = &r.busy
+	}
+	rank, hosts := r.before.zones[z], group.zones[z]
+	if z != r.selfZone {
+		rank, hosts = r.before.all-rank, group.all-hosts
+	}
+	_, phase := math.Modf(float64(xxhash.Sum64String(string(id)))/math.MaxUint64 + float64(rank)/float64(max(1, hosts)))
+	return phase
 }
 
 // Bounds of a cold server's rate if the settings have none.
@@ -172,6 +200,10 @@
 		busy := r.cold[h.ID]
 		if h.ID == self {
 			s.selfZone, s.selfBusy = h.Zone, busy
+			s.before = s.others.clone()
+			if busy {
+				s.before = s.busy.clone()
+			}
 		}
 		if busy {
 			s.busy.add(h.Zone)
@@ -182,6 +214,8 @@
 	return s
 }
 
+func (c *zoneCounts) clone() zoneCounts { return zoneCounts{maps.Clone(c.zones), c.all} }
+
 // groups returns the shares of all hosts for a server in a zone.
 func (r *rateShares) groups(z tier.Zone) (out []terms.HostGroup) {
 	for _, busy := range []bool{true, false} {
@@ -209,7 +243,7 @@
 	return t != nil && s.node.catalog.excluded(t)
 }
 
-// ColdRate returns this host's rate for a server if it is cold.
-func (s selection) ColdRate(now time.Duration, id tier.ServerID) (own terms.Rate, ok bool) {
-	return s.node.cold.rate(now, id, s.node.coldRate)
+// Cold returns what this host may send to a server if it is cold.
+func (s selection) Cold(now time.Duration, id tier.ServerID) (c terms.Cold, ok bool) {
+	return s.node.cold.get(now, id, s.node.coldShare)
 }
--- a/internal/edge/cold_test.go
+++ b/internal/edge/cold_test.go
@@ -33,12 +33,15 @@
 	for i := range n {
 		var tracker shareTracker
 		shares := tracker.updateCold(f.hosts[i].ID, f.hosts)
-		own := terms.ColdRate(tolerated, bound, shares.groups("z0")) * terms.Rate(shares.share("z0"))
-		phase := random.Float64()
+		cold := shares.cold(&spread.Server{ID: "s", Zone: "z0"}, tolerated, bound)
+		if cold.Since = time.Duration(random.IntN(100)) * time.Millisecond; random.IntN(10) == 0 {
+			// It learned of it later than the others.
+			cold.Since = time.Duration(random.IntN(int(10 * time.Second)))
+		}
 		table := &terms.Table{
-			Share: func(tier.ServerID) float64 { return 1 }, Phase: func(tier.ServerID) float64 { return phase },
+			Share: func(tier.ServerID) float64 { return 1 }, Phase: func(tier.ServerID) float64 { return 0 },
 			Born: func(tier.ServerID) int64 { return 1 },
-			Cold: func(time.Duration, tier.ServerID) (terms.Rate, bool) { return own, true },
+			Cold: func(time.Duration, tier.ServerID) (terms.Cold, bool) { return cold, true },
 		}
 		table.Start()
 		f.tables = append(f.tables, table)
@@ -129,7 +132,7 @@
 	rec := func(rest tier.Millis, state spread.ServerState) []spread.Server {
 		return []spread.Server{{ID: "s", RestMs: rest, State: state, Home: "h"}}
 	}
-	limited := func(*spread.Server) (terms.Rate, bool) { return 3, true }
+	limited := func(*spread.Server) (terms.Cold, bool) { return terms.Cold{Own: 3}, true }
 	for _, c := range []struct {
 		name string
 		next []spread.Server
@@ -145,19 +148,19 @@
 		var s coldServers
 		require.Len(t, s.update(0, rec(5000, spread.ServerReady)), 1, c.name)
 		s.update(time.Second, c.next)
-		_, cold := s.rate(c.at, "s", limited)
+		_, cold := s.get(c.at, "s", limited)
 		require.Equal(t, c.cold, cold, c.name)
 		s.expire(c.at)
 		require.Equal(t, c.cold, s.count.Load() == 1, c.name)
 	}
 	var s coldServers
-	s.suspect(rec(0, spread.ServerReady)[0], 4*time.Second)
-	_, cold := s.rate(3*time.Second, "s", limited)
+	s.suspect(0, rec(0, spread.ServerReady)[0], 4*time.Second)
+	_, cold := s.get(3*time.Second, "s", limited)
 	require.True(t, cold, "it died and may be back before its announcement")
 	s.update(3*time.Second, rec(0, spread.ServerReady))
-	_, cold = s.rate(3*time.Second, "s", limited)
+	_, cold = s.get(3*time.Second, "s", limited)
 	require.False(t, cold, "its new announcement says that it is warm")
 	s.update(0, rec(5000, spread.ServerReady))
-	_, cold = s.rate(0, "s", func(*spread.Server) (terms.Rate, bool) { return 0, false })
+	_, cold = s.get(0, "s", func(*spread.Server) (terms.Cold, bool) { return terms.Cold{}, false })
 	require.False(t, cold, "its service has no rate for cold servers")
 }
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -41,6 +41,8 @@
 	selfZone     tier.Zone
 	selfBusy     bool
 	busy, others zoneCounts
+	// before counts the hosts of this host's group, busy or not, that precede it in the list.
+	before zoneCounts
 }
 
 // share returns the share for a server in a zone; the shares of all hosts add up to one at most.
--- a/internal/proc/spread/zones_test.go
+++ b/internal/proc/spread/zones_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// TestHostIsNotCurrentWhileItFetchesTheEvacuatedZones guards against a host that serves while the set that a peer has named is still
+// under way.
+func TestHostIsNotCurrentWhileItFetchesTheEvacuatedZones(t *testing.T) {
+	s := &State{Lease: testLease, Seeds: []tier.NodeID{"b"}}
+	s.Start(0, Host{ID: "a", Boot: 1})
+	s.Receive(time.Millisecond, Packet{From: "b", Boot: 1, Reply: 1, Evacuations: 4})
+	require.Equal(t, tier.NodeID("b"), s.TakeEffects().NewerEvacuationsPeer)
+	require.True(t, s.synced)
+	require.False(t, s.Current(2*time.Millisecond))
+	s.SetEvacuations(2*time.Millisecond, 4)
+	require.True(t, s.Current(2*time.Millisecond))
+	require.Empty(t, s.TakeEffects().NewerEvacuationsPeer)
+}
+
 // TestColdAgainIsSeen lists what a server announces to its home, and whether and with which warm-up time the others are told. It
 // guards against a server whose later warm-up no host notices, against a warm server that a host which starts later takes for
 // cold, and against a message for each announcement.
--- a/internal/proc/terms/cold.go
+++ b/internal/proc/terms/cold.go
@@ -28,8 +28,8 @@
 }
 
 // ColdRate returns the rate of all hosts together at which a cold server stays within the bound in any second: the rate that it
-// tolerates, or less. The permits of a second, with those left from before it, are those of permitLife more than a second. The
-// hosts do not agree on when each of them issues its permits, so that their sum varies.
+// tolerates, or less. The permits of a second, with those left from before it, are those of permitLife more than a second. Their
+// sum over the hosts varies, as hosts that learned at another time that the server is cold do not issue theirs in turn.
 func ColdRate(tolerated float64, b ColdBound, groups []HostGroup) Rate {
 	limit := tolerated*b.Overage + b.Tolerance
 	for i := range coldSteps {
@@ -56,23 +56,40 @@
 	return min(all, mean+coldDeviations*math.Sqrt(variance))
 }
 
+// Cold is what a host may send to a cold server.
+type Cold struct {
+	// Own is this host's rate.
+	Own Rate
+	// Since is when this host learned that the server is cold; all hosts learn it at nearly the same time.
+	Since time.Duration
+	// Phase is the fraction of a permit that this host has at Since. Phases that are spread evenly over the hosts with the same
+	// share make them issue their permits in turn.
+	Phase float64
+}
+
+// coldPacer issues the permits of one warm-up.
+type coldPacer struct {
+	pacer
+	since time.Duration
+}
+
 // allowedCold reports whether this host may send a request to a server now as far as its warming up is concerned, and if not,
 // when it may.
 func (t *Table) allowedCold(now time.Duration, id tier.ServerID) (next time.Duration) {
 	if t.Cold == nil {
 		return now
 	}
-	own, cold := t.Cold(now, id)
+	c, cold := t.Cold(now, id)
 	if !cold {
 		return now
 	}
 	p := t.cold[id]
-	if p == nil {
-		p = &pacer{at: now, issued: t.Phase(id)}
+	if p == nil || p.since != c.Since {
+		p = &coldPacer{pacer{at: c.Since, issued: c.Phase}, c.Since}
 		t.cold[id] = p
 	}
-	p.advance(now, own)
-	return p.next(now, own)
+	p.advance(now, c.Own)
+	return p.next(now, c.Own)
 }
 
 // takeCold uses a permit for a request to a server if it is cold.
@@ -81,7 +98,7 @@
 	if p == nil || t.Cold == nil {
 		return
 	}
-	if _, cold := t.Cold(now, id); cold {
+	if c, cold := t.Cold(now, id); cold && p.since == c.Since {
 		p.used++
 	}
 }
--- a/internal/proc/terms/table.go
+++ b/internal/proc/terms/table.go
@@ -91,19 +91,18 @@
 	Phase func(tier.ServerID) float64
 	// Born returns the start of a server in Unix milliseconds, as it announced it.
 	Born func(tier.ServerID) int64
-	// Cold returns the rate at which this host may send to a server that is cold; ok is false for a warm one. nil means that
-	// none is cold.
-	Cold func(now time.Duration, id tier.ServerID) (own Rate, ok bool)
+	// Cold returns what this host may send to a server that is cold; ok is false for a warm one. nil means that none is cold.
+	Cold func(now time.Duration, id tier.ServerID) (c Cold, ok bool)
 
 	servers map[tier.ServerID]*server
 	// cold holds the permits for servers that are or were cold.
-	cold map[tier.ServerID]*pacer
+	cold map[tier.ServerID]*coldPacer
 }
 
 // Start clears the table. It must be called before first use.
 func (t *Table) Start() {
 	t.servers = map[tier.ServerID]*server{}
-	t.cold = map[tier.ServerID]*pacer{}
+	t.cold = map[tier.ServerID]*coldPacer{}
 }
 
 // Forget drops the statements of all servers for which keep returns false.
--- a/internal/reqst/select.go
+++ b/internal/reqst/select.go
@@ -18,8 +18,8 @@
 	Restricted() bool
 	// Evacuated reports whether a server's zone is evacuated.
 	Evacuated(id tier.ServerID) bool
-	// ColdRate returns the rate at which this node may send to a cold server; ok is false for a warm one.
-	ColdRate(now time.Duration, id tier.ServerID) (own terms.Rate, ok bool)
+	// Cold returns what this node may send to a cold server; ok is false for a warm one.
+	Cold(now time.Duration, id tier.ServerID) (c terms.Cold, ok bool)
 }
 
 // pick chooses a server of a list. It returns its index, or -1, and the servers that are not evacuated. It is called with mu held.
@@ -41,7 +41,7 @@
 			continue
 		}
 		open = append(open, c)
-		if _, isCold := d.Selection.ColdRate(now, c.Server); isCold {
+		if _, isCold := d.Selection.Cold(now, c.Server); isCold {
 			cold = append(cold, c)
 		} else {
 			warm = append(warm, c)
--- a/internal/reqst/select_test.go
+++ b/internal/reqst/select_test.go
@@ -21,9 +21,9 @@
 
 func (s *fakeSelection) Restricted() bool                { return len(s.evacuated)+len(s.cold) > 0 }
 func (s *fakeSelection) Evacuated(id tier.ServerID) bool { return s.evacuated[id] }
-func (s *fakeSelection) ColdRate(_ time.Duration, id tier.ServerID) (terms.Rate, bool) {
+func (s *fakeSelection) Cold(_ time.Duration, id tier.ServerID) (terms.Cold, bool) {
 	r, ok := s.cold[id]
-	return r, ok
+	return terms.Cold{Own: r, Since: time.Hour}, ok
 }
 
 // selectFrom makes 400 choices in 4 s among three servers, of which s0 is the cheapest, and counts them.
--- a/internal/reqst/terms.go
+++ b/internal/reqst/terms.go
@@ -20,7 +20,7 @@
 		d.terms.Share = func(tier.ServerID) float64 { return 1 }
 	}
 	if d.Selection != nil {
-		d.terms.Cold = d.Selection.ColdRate
+		d.terms.Cold = d.Selection.Cold
 	}
 	d.terms.Start()
 	d.Board.Allowed = func(now time.Duration, id tier.ServerID) bool {
