--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -9,6 +9,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/edge"
 	"sassafrasring.dev/sassafrasring/internal/proc/quota"
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/internal/setup"
 	"sassafrasring.dev/sassafrasring/internal/vers"
@@ -76,6 +77,7 @@
 		Budget:     reqst.Allowance{Ratio: float64(s.Repeats.Percent) / percent, Fixed: float64(s.Repeats.Fixed), Window: s.Repeats.WindowMs.Duration()},
 		Limits:     edge.CallerLimits{HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, HeaderTimeout: s.Limits.ReadMs.Duration(), BodyTimeout: s.Limits.BodyMs.Duration(), IdleTimeout: s.Limits.IdleMs.Duration()},
 		Quota:      quota.Limits{Window: s.Quota.WindowMs.Duration(), Overage: float64(s.Quota.Percent) / percent, Tolerance: float64(s.Quota.Slack)},
+		Cold:       terms.ColdBound{Overage: float64(s.Cold.Percent) / percent, Tolerance: float64(s.Cold.Fixed)},
 	}, nil
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -92,6 +92,8 @@
 	currency     *currency
 	workers      *work.Pool
 	table        atomic.Pointer[table]
+	evacuations  evacuations
+	cold         coldServers
 	tableChanged chan struct{}
 	fetching     atomic.Bool
 	stopping     atomic.Bool
@@ -125,7 +127,7 @@
 	n.currency = newCurrency(&n.Settings, n.LeaseClock)
 	n.buildLimits()
 	n.catalog = &catalog{
-		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
+		limits: &n.answers, evacuated: n.evacuations.has, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
 	}
 	if s := n.Settings.Source; s != "" {
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
@@ -153,13 +155,14 @@
 		kindRelay:   n.serveRelay,
 		kindProof:   n.serveProof,
 		kindQuota:   n.quotas.serve,
+		kindZones:   n.serveZones,
 	}
 	n.forwarder = &reqst.Forwarder{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
 		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.routesRecent,
 		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
-		GraceLeft: n.graceLeft, Proof: n.currency, Quota: n.quotas,
+		GraceLeft: n.graceLeft, Proof: n.currency, Quota: n.quotas, Selection: selection{n},
 	}
 }
 
@@ -206,7 +209,9 @@
 // membershipChanged applies membership changes. It is called with the membership lock held.
 func (n *Node) membershipChanged(eff spread.Effects) {
 	if len(eff.Servers) > 0 {
-		n.catalog.update(n.withoutOdd(eff.Servers))
+		list := n.withoutOdd(eff.Servers)
+		n.serversWarm(list)
+		n.catalog.update(list)
 		n.serversChanged(eff.Servers)
 	}
 	if eff.Hosts {
@@ -214,6 +219,7 @@
 	}
 	for _, f := range eff.Faults {
 		n.forwarder.Blame(reqst.Death{Fingerprint: f.Fingerprint, Server: f.Server, Age: f.AgeMs.Duration()})
+		n.serverRestarts(f.Server, f.AgeMs.Duration())
 	}
 	for _, t := range eff.Notices {
 		n.forwarder.ReceiveNotice(t)
@@ -221,12 +227,16 @@
 	if eff.NewerRoutesPeer != "" {
 		n.fetchRoutes(n.ctx, eff.NewerRoutesPeer)
 	}
+	if eff.NewerEvacuationsPeer != "" {
+		n.fetchEvacuations(n.ctx, eff.NewerEvacuationsPeer)
+	}
 }
 
 // serverDied reports to the fleet that a server died while it processed a request with this
 // fingerprint.
 func (n *Node) serverDied(f tier.Fingerprint, id tier.ServerID) {
 	event.ServerDied.Log(n.Log, nil, logrus.Fields{"server": id, "fingerprint": f})
+	n.serverRestarts(id, 0)
 	n.workers.Go(func() {
 		n.gossip.withState(func(now time.Duration, s *spread.State) { s.ReportFault(now, spread.Fault{Fingerprint: f, Server: id}) })
 	})
@@ -358,6 +368,7 @@
 			return ctx.Err()
 		case <-t.C:
 			n.catalog.closeExpired(time.Now())
+			n.cold.expire(n.Clock.Now())
 			n.publishActive()
 			if rounds++; rounds%forgetRounds == 0 {
 				n.forwarder.ForgetGone()
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -13,6 +13,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/internal/proc/disk"
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
 	"sassafrasring.dev/sassafrasring/internal/proc/roster"
@@ -75,6 +76,8 @@
 	// MembersChanged, if not nil, is called with each new membership in the log, and with the current one after the state has
 	// been read from disk. It must not block.
 	MembersChanged func(Membership)
+	// EvacuationsChanged, if not nil, is called likewise with the set of evacuated zones.
+	EvacuationsChanged func(evac.Set)
 
 	core  quorum.Core
 	store *store.Store
@@ -198,6 +201,7 @@
 	}
 	r.notifyRoutes()
 	r.notifyMembers()
+	r.notifyEvacuations()
 	if r.Ready != nil {
 		close(r.Ready)
 	}
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -105,6 +105,11 @@
 	QuotaExhausted      = Event{331, logrus.InfoLevel, "tenant over its quota", "A request was refused with 429 because no control host that answered had any of the tenant's quota left. Logged at most every 10 s for each tenant on each node, for at most 100 tenants. Fields: tenant, retry_ms (what the caller is told)."}
 	QuotaUnavailable    = Event{332, logrus.WarnLevel, "quota not available", "A request was refused with 503 because no control host granted or denied it in time. Logged like event 331. Fields: tenant."}
 	QuotaTooSmall       = Event{333, logrus.WarnLevel, "quota too small to be shared", "A tenant's burst and the tolerance of the limits make less than one request for each voter, or the rate is too high for the overage: this control host grants nothing. A higher burst or tolerance mends it. Logged like event 331. Fields: tenant, voters."}
+	EvacuationsInForce  = Event{335, logrus.WarnLevel, "evacuated zones changed", "This node sends nothing more to the servers of the listed zones. Fields: version (of the set), zones (all that are evacuated; empty if none is)."}
+	EvacuationAccepted  = Event{336, logrus.InfoLevel, "evacuation committed", "The control group has accepted a new set of evacuated zones. Fields: version, zones, index (of the log entry)."}
+	EvacuationNotKnown  = Event{337, logrus.WarnLevel, "evacuated zones not fetched", "A peer knows a newer set of evacuated zones but did not send it in time; the node tries again. Fields: peer."}
+	EvacuationRestored  = Event{338, logrus.ErrorLevel, "evacuated zones committed again", "The control leader's state lacked the set of evacuated zones in force: it came from a snapshot of an earlier build. The leader commits the set once more. Fields: version (in force), held (by the state)."}
+	ServerCold          = Event{339, logrus.InfoLevel, "server warms up", "A server stated to this node that it is cold, or that it is warm again. Fields: server, service, cold_ms (remaining; 0 once it is warm)."}
 	RecordFailed        = Event{309, logrus.WarnLevel, "write record failed", "The outcome could not be recorded in time; a resend of the write gets the outcome unknown. Fields: claim."}
 )
 
@@ -116,5 +121,6 @@
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
 	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored, AnswerDiscarded, RequestRepeated,
 	QuotaGranting, QuotaExhausted, QuotaUnavailable, QuotaTooSmall,
+	EvacuationsInForce, EvacuationAccepted, EvacuationNotKnown, EvacuationRestored, ServerCold,
 	RequestRefused,
 }
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -131,6 +131,8 @@
 	Proof Proof
 	// Quota holds the tenants' quotas; nil means that there are none.
 	Quota Quota
+	// Selection restricts the choice of servers; nil restricts nothing.
+	Selection Selection
 	// Self is this node.
 	Self tier.NodeID
 	// RoutesRecent reports whether the routing table is recent enough to say that a route does not
@@ -148,6 +150,8 @@
 	refusalLogs refusalLogs
 	suspects    Suspects
 	terms       terms.Table
+	// coldChoices counts the choices among servers of which some are cold.
+	coldChoices uint64
 	reach       reach.Board
 	// reachUpdated is when UpdateReach was last called.
 	reachUpdated time.Duration
