edge: the test of currency proofs waits until its first host has started

Cause: ApplyRoutes was called before Run had started the links (panic beside other load). Change: the test awaits the membership, which starts later. Result: go test ./internal/edge.

--- a/internal/edge/proof_test.go
+++ b/internal/edge/proof_test.go
@@ -59,6 +59,8 @@
 		doc := fmt.Appendf(nil, `{"version": 1, "routes": [{"name": "r", "host": "a", "prefix": "/", "timeout": 1000, "service": "s"},
 			{"name": "p", "host": "a", "prefix": "/public/", "timeout": 1000, "service": "s", "public": true}],
 			"services": [{"name": "s"}], "tenants": [{"name": "one", "keys": ["k"], "rate": %d}]}`, c.rate)
+		// The membership starts after the links that ApplyRoutes needs.
+		require.Eventually(t, func() bool { return len(nodes[0].gossip.list()) > 0 }, 30*time.Second, 10*time.Millisecond, c.name)
 		require.Eventually(t, func() bool {
 			apply, stop := context.WithTimeout(ctx, 5*time.Second)
 			defer stop()
