--- a/internal/vers/document_test.go
+++ b/internal/vers/document_test.go
@@ -19,6 +19,7 @@
   ],
   "services": [{"name": "a", "connections": 26}, {"name": "b"}],
   "limits": {"body": 65536, "read": 3000},
+  "tenants": [{"name": "acme", "keys": ["secret-1", "secret-2"], "rate": 46, "burst": 12, "priority": 0}, {"name": "small"}],
 }`
 
 func TestDocumentIsDecoded(t *testing.T) {
@@ -32,6 +33,8 @@
 	require.False(t, r.Match("book.example", "/book/1").Idempotent)
 	require.InDelta(t, 9, r.Match("book.example", "/trial/").Split[0].Weight, 0)
 	require.EqualValues(t, 65536, r.Limits.BodyBytes)
+	require.Equal(t, &Tenant{Name: "acme", Keys: []string{"secret-1", "secret-2"}, Rate: 46, Burst: 12, HasPriority: true}, r.TenantByKey("secret-2"))
+	require.Zero(t, r.Tenant("small").Rate, "no limit")
 }
 
 func TestBadDocumentsAreRefused(t *testing.T) {
@@ -40,8 +43,27 @@
 		{`"version": 4`, `"version": "four"`},
 		{`"timeout": 800`, `"time_out": 800`},
 		{`"limits"`, `} "limits"`},
+		{`"rate": 46`, `"rate": 1e999`},
+		{`"rate": 46`, `"rate": "46"`},
+		{`"rate": 46`, `"rate": -0.5`},
+		{`"priority": 0`, `"priority": 0.5`},
+		{`"secret-2"`, `""`},
+		{`"secret-2"`, `null`},
+		{`"secret-2"`, `7`},
+		{`"secret-1", "secret-2"`, `"secret-1" "secret-2"`},
+		{`["secret-1", "secret-2"]`, `"secret-1"`},
+		{`["secret-1", "secret-2"]`, `{"secret-1": true}`},
+		{`{"name": "small"}`, `{"name": "small", "keys": ["secret-1"]}`},
+		{`{"name": "small"}`, `{"name": "acme"}`},
+		{`{"name": "small"}`, `{}`},
+		{`{"name": "small"}`, `"small"`},
+		{`{"name": "small"}`, `{"name": "small", "api_keys": []}`},
 	} {
-		_, err := DecodeRoutes([]byte(strings.Replace(exampleTable, c.old, c.new, 1)))
+		r, err := DecodeRoutes([]byte(strings.Replace(exampleTable, c.old, c.new, 1)))
+		if err == nil {
+			err = r.Check()
+		}
 		require.Error(t, err, c.new)
+		require.NotContains(t, err.Error(), "secret-", "the key: %s", c.new)
 	}
 }
--- a/internal/vers/tenant.go
+++ b/internal/vers/tenant.go
@@ -30,6 +30,13 @@
 	return r.Priority
 }
 
+const (
+	// Quotas are computed with floating-point numbers and times. A rate beyond maxRate is more than any fleet serves, and the wait
+	// for the next request at minRate (11 days) fits a time.Duration.
+	minRate = 1e-6
+	maxRate = 1e9
+)
+
 // tenantIndex finds tenants by key and by name.
 type tenantIndex struct {
 	byKey  map[string]*Tenant
@@ -59,6 +66,10 @@
 	case n.Priority < 0:
 		return errors.New("the priority is negative")
 	}
+	n.Burst = min(n.Burst, maxRate)
+	if n.Rate > 0 {
+		n.Rate = min(max(n.Rate, minRate), maxRate)
+	}
 	x.byName[n.Name] = n
 	for _, key := range n.Keys {
 		switch other := x.byKey[key]; {
--- a/internal/vers/tenant_test.go
+++ b/internal/vers/tenant_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -28,6 +30,13 @@
 		{"negative rate", []Tenant{{Name: "a", Rate: -1}}, false},
 		{"burst is not a number", []Tenant{{Name: "a", Burst: math.NaN()}}, false},
 		{"infinite rate", []Tenant{{Name: "a", Rate: math.Inf(1)}}, false},
+		{"negative burst", []Tenant{{Name: "a", Burst: -1}}, false},
+		{"rate is not a number", []Tenant{{Name: "a", Rate: math.NaN()}}, false},
+		{"long name", []Tenant{{Name: tier.Tenant(strings.Repeat("a", 1000))}}, false},
+		{"huge limits", []Tenant{{Name: "a", Rate: math.MaxFloat64, Burst: math.MaxFloat64}}, true},
+		{"tiny rate", []Tenant{{Name: "a", Rate: math.SmallestNonzeroFloat64}}, true},
+		{"100,000 tenants", manyTenants(100_000), true},
+		{"100,000 tenants, the last with the first one's key", append(manyTenants(100_000), Tenant{Name: "a", Keys: []string{"key0"}}), false},
 		{"negative priority", []Tenant{{Name: "a", Priority: -1, HasPriority: true}}, false},
 	} {
 		r := validRoutes()
@@ -35,6 +44,12 @@
 		err := r.Check()
 		if c.valid {
 			require.NoError(t, err, c.name)
+			for i := range c.tenants {
+				n := &c.tenants[i]
+				require.LessOrEqual(t, n.Rate+n.Burst, 2*maxRate, "a quota can be computed with: %s", c.name)
+				require.Positive(t, time.Duration(float64(time.Second)/max(n.Rate, minRate)), c.name)
+				require.Same(t, n, r.Tenant(n.Name), c.name)
+			}
 			continue
 		}
 		require.Error(t, err, c.name)
@@ -42,13 +57,18 @@
 	}
 }
 
+func manyTenants(count int) (list []Tenant) {
+	for i := range count {
+		list = append(list, Tenant{Name: tier.Tenant(fmt.Sprint("t", i)), Keys: []string{fmt.Sprint("key", i)}})
+	}
+	return list
+}
+
 // BenchmarkTenantByKey shows that the look-up does not depend on the number of keys and does not allocate.
 func BenchmarkTenantByKey(b *testing.B) {
 	for _, keys := range []int{80, 100_000} {
 		r := validRoutes()
-		for i := range keys {
-			r.Tenants = append(r.Tenants, Tenant{Name: tier.Tenant(fmt.Sprint("t", i)), Keys: []string{fmt.Sprint("key", i)}})
-		}
+		r.Tenants = manyTenants(keys)
 		require.NoError(b, r.Check())
 		b.Run(fmt.Sprint(keys), func(b *testing.B) {
 			b.ReportAllocs()
