soak: callers with keys of tenants

Cause: no real process under faults was asked for a key. Change: callers send keys that always belong to one tenant, one that moves to another tenant and some that are taken away every eight tables, unknown ones and none, and reads on a public route, all with a tenant's name of their own. The checker holds, from what callers and servers see: no server gets a key; the tenant it gets holds the key in a table that may be in force, which without faults excludes those replaced 4 s before; a key in all of these is not refused.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("seed %d, logs in %s: %w", f.Seed, f.Dir, err)
 	}
-	fmt.Printf("seed %d: %d requests served, %d failed, %d routing tables, %d second answers, %d violated guarantees\n", r.Seed, r.Served, r.Failed, r.Tables, r.SecondAnswers, len(r.Violations))
+	fmt.Printf("seed %d: %d requests served, %d failed, %d routing tables, %d second answers, %d refused keys, %d violated guarantees\n", r.Seed, r.Served, r.Failed, r.Tables, r.SecondAnswers, r.KeysRefused, len(r.Violations))
 	for _, b := range r.Violations {
 		fmt.Println("  " + b)
 	}
--- a/internal/soak/again.go
+++ b/internal/soak/again.go
@@ -25,7 +25,7 @@
 // the guarantees.
 func (f *Fleet) ask(ctx context.Context, client *http.Client, h *host, q sending, send func(context.Context, *http.Client, *host, sending) response, r *rand.Rand) {
 	again := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	for a := send(ctx, client, h, q); a.status != http.StatusOK && q.n+1 < maxSendings && ctx.Err() == nil; a = send(ctx, again, h, q) {
+	for a := send(ctx, client, h, q); a.status != http.StatusOK && a.status != http.StatusUnauthorized && q.n+1 < maxSendings && ctx.Err() == nil; a = send(ctx, again, h, q) {
 		wait := time.Duration(r.Int64N(int64(maxAtOnce)))
 		if !percent(r, atOncePercent) {
 			wait = retryAfter(a)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -31,11 +31,12 @@
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		h := f.hosts[r.IntN(len(f.hosts))]
-		q := sending{id: fmt.Sprintf("%d-%d-%d", f.Seed, n, i)}
+		q := sending{id: fmt.Sprintf("%d-%d-%d", f.Seed, n, i), key: f.pickKey(r)}
 		switch r.IntN(4) {
 		case 0:
 			f.write(ctx, client, h, q)
 		case 1:
+			q.public = percent(r, publicPercent)
 			f.ask(ctx, client, h, q, f.read, r)
 		default:
 			f.ask(ctx, client, h, q, f.search, r)
@@ -75,6 +76,12 @@
 	req.Header.Set(tier.HeaderRequestID, q.id)
 	req.Header.Set(headerSending, q.String())
 	req.Header.Set(tier.HeaderDeadline, strconv.FormatInt(requestDeadline.Milliseconds(), 10))
+	names := tier.DefaultHeaders()
+	req.Header.Set(names.Tenant, claimedTenant)
+	if q.key != "" {
+		req.Header.Set(names.Credential, q.key)
+	}
+	f.checker.recordSent(q)
 	resp, err := client.Do(req)
 	if err != nil {
 		return response{timedOut: ctx.Err() != nil}
@@ -102,7 +109,11 @@
 
 // read sends an idempotent request to a service that has no shards: the response is the server's own.
 func (f *Fleet) read(ctx context.Context, client *http.Client, h *host, q sending) response {
-	a := f.request(ctx, client, h, http.MethodGet, "/read/", q, nil)
+	path := "/read/"
+	if q.public {
+		path = "/open/"
+	}
+	a := f.request(ctx, client, h, http.MethodGet, path, q, nil)
 	f.checkResponse(h, q, a, deskService)
 	f.checker.checkAnswer(q, a)
 	return a
@@ -125,6 +136,8 @@
 	switch a.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		f.checker.recordNotRun(q.String(), services...)
+	case http.StatusUnauthorized:
+		f.checker.checkKeyRefused(q.String())
 	case http.StatusNotFound:
 		if len(a.body) == 0 {
 			f.checker.report("%s returned 404 for request %s, whose route exists", h.id, q)
@@ -149,6 +162,7 @@
 // applyTable sends a routing table to one host after another until a host acknowledges it.
 func (f *Fleet) applyTable(ctx context.Context, client *http.Client, version int) {
 	doc := f.routingTable(version)
+	f.checker.recordProposed(version)
 	for attempt := 0; ctx.Err() == nil && attempt < maxApplyAttempts; attempt++ {
 		if attempt > 0 {
 			pause(ctx, applyRetryPause)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -75,7 +75,9 @@
 	Tables         int
 	// SecondAnswers is how many requests servers answered twice.
 	SecondAnswers int
-	Violations    []string
+	// KeysRefused is how many requests were refused for their keys.
+	KeysRefused int
+	Violations  []string
 }
 
 // Run runs the soak and returns the guarantees that were violated.
@@ -99,7 +101,7 @@
 	f.wait.Wait()
 	f.checker.checkBudget()
 	j := f.checker
-	return Result{Seed: f.Seed, Served: j.served, Failed: j.failed, Tables: j.acked / operators, SecondAnswers: j.seconds, Violations: j.violations}, ctx.Err()
+	return Result{Seed: f.Seed, Served: j.served, Failed: j.failed, Tables: j.acked / operators, SecondAnswers: j.seconds, KeysRefused: j.keysRefused, Violations: j.violations}, ctx.Err()
 }
 
 // startAll starts relays, hosts and servers, and waits until every host answers a search with all shards.
@@ -178,7 +180,7 @@
 // allComplete reports whether every host answers a search with all shards.
 func (f *Fleet) allComplete(client *http.Client) bool {
 	for _, h := range f.hosts {
-		a := f.request(f.ctx, client, h, http.MethodGet, "/search/", sending{id: fmt.Sprintf("whole-%d-%d", f.Seed, time.Now().UnixNano())}, nil)
+		a := f.request(f.ctx, client, h, http.MethodGet, "/search/", sending{id: fmt.Sprintf("whole-%d-%d", f.Seed, time.Now().UnixNano()), key: fixedKey(tenantNames[0])}, nil)
 		if a.status != http.StatusOK || a.header.Get(tier.DefaultHeaders().Missing) != "0" {
 			return false
 		}
@@ -211,9 +213,10 @@
 	return fmt.Appendf(nil, `{"version": %d, "routes": [
 		{"name": "search", "host": "soak.example", "prefix": "/search/", "idempotent": true, "timeout": 4000, "target": 200, "attempts": 2, "gather": [%s], "top": 100, "least": %g},
 		{"name": "read", "host": "soak.example", "prefix": "/read/", "idempotent": true, "timeout": 4000, "service": "desk", "attempts": 2},
+		{"name": "open", "host": "soak.example", "prefix": "/open/", "idempotent": true, "timeout": 4000, "service": "desk", "attempts": 2, "public": true},
 		{"name": "write", "host": "soak.example", "prefix": "/write/", "timeout": 4000, "service": "desk", "attempts": 2},
 		{"name": "extra-%d", "host": "extra.example", "prefix": "/v%d/", "timeout": 4000, "service": "desk"}],
-		"services": [%s]}`, version, strings.Join(list, ", "), float64(minShards)/shards, version, version, services)
+		"services": [%s], "tenants": [%s]}`, version, strings.Join(list, ", "), float64(minShards)/shards, version, version, services, tenantList(version))
 }
 
 func (f *Fleet) startTraffic(ctx context.Context) {
--- a/internal/soak/given.go
+++ b/internal/soak/given.go
@@ -13,6 +13,9 @@
 type sending struct {
 	id string
 	n  int
+	// key is the caller's; public is true on a route that needs none.
+	key    string
+	public bool
 }
 
 // String returns the value of the header that names the sending.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -26,6 +26,12 @@
 	nonIdempotent map[string]bool
 	// acked is the highest routing table version acknowledged to an operator.
 	acked int
+	// acks holds the acknowledgements of routing tables, proposed the highest version sent to a host, and sent the sendings with
+	// their keys.
+	acks        []ack
+	proposed    int
+	sent        map[string]sent
+	keysRefused int
 	// arrivals holds the arrivals at each service in order of time, for the repeat budget.
 	arrivals map[string][]arrival
 	// faultyUntil is the time until which faults of links or hosts may delay what hosts learn.
@@ -41,7 +47,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{started: time.Now(), executions: map[string]int{}, arrived: map[string]int{}, given: map[string]given{}, notRun: map[string]bool{}, nonIdempotent: map[string]bool{}, arrivals: map[string][]arrival{}}
+	return &checker{started: time.Now(), executions: map[string]int{}, arrived: map[string]int{}, given: map[string]given{}, notRun: map[string]bool{}, nonIdempotent: map[string]bool{}, arrivals: map[string][]arrival{}, sent: map[string]sent{}}
 }
 
 // reportLocked is report for callers that hold the lock.
@@ -130,7 +136,8 @@
 	j.nonIdempotent[id] = true
 }
 
-// recordOutcome records the response to a request. While there are no faults every request must succeed.
+// recordOutcome records the response to a request. While there are no faults every request with a valid key must
+// succeed.
 func (j *checker) recordOutcome(id string, a response) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -139,7 +146,7 @@
 		return
 	}
 	j.failed++
-	if j.stableLocked() {
+	if a.status != http.StatusUnauthorized && j.stableLocked() {
 		j.reportLocked("request %s got status %d, timed out %v, while nothing was disturbed", id, a.status, a.timedOut)
 	}
 }
@@ -149,6 +156,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.acked = max(j.acked, version)
+	j.acks = append(j.acks, ack{version, time.Now()})
 }
 
 func (j *checker) lastAcked() int {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -99,6 +99,18 @@
 		{"two answers of one shard", func(j *checker) {
 			j.checkParts(askedAgain, gathered(inOrder(partOf(j, askedAgain, 0, http.StatusOK), partOf(j, askedAgain, 0, http.StatusOK))...))
 		}, "shard 0 twice"},
+		{"a server gets a key", func(j *checker) {
+			j.checkTenant("r/0", http.Header{"X-Other": {fixedKey("second")}, "X-Tenant": {"second"}})
+		}, "with a key"},
+		{"a server gets the tenant that a caller names", func(j *checker) { j.checkTenant("r/0", http.Header{"X-Tenant": {claimedTenant}}) }, "as one of"},
+		{"a server gets no tenant", func(j *checker) { j.checkTenant("r/0", http.Header{}) }, "as one of"},
+		{"a server gets a tenant on a public route", func(j *checker) { j.checkTenant("public/0", http.Header{"X-Tenant": {"second"}}) }, "of a public route"},
+		{"an unknown key runs", func(j *checker) { j.checkTenant("unknown/0", http.Header{"X-Tenant": {"second"}}) }, "as one of"},
+		{"a key that was taken away runs", func(j *checker) { j.checkTenant("old/0", http.Header{"X-Tenant": {"first"}}) }, "as one of"},
+		{"a key runs as one of its former tenant", func(j *checker) { j.checkTenant("moved/0", http.Header{"X-Tenant": {"first"}}) }, "as one of"},
+		{"a valid key is refused", func(j *checker) { j.checkKeyRefused("r/0") }, "which is valid"},
+		{"a public route asks for a key", func(j *checker) { j.checkKeyRefused("public/0") }, "which is valid"},
+		{"a key that moved is refused", func(j *checker) { j.checkKeyRefused("moved/0") }, "which is valid"},
 		{"parts out of order", func(j *checker) {
 			list := inOrder(partOf(j, askedAgain, 0, http.StatusOK), partOf(j, askedAgain, 1, http.StatusOK))
 			j.checkParts(askedAgain, gathered(list[1], list[0]))
@@ -106,6 +118,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			j := newChecker()
+			sendAll(j)
 			c.do(j)
 			require.Len(t, j.violations, 1)
 			require.Contains(t, j.violations[0], c.want)
@@ -113,6 +126,17 @@
 	}
 }
 
+// sendAll records sendings with all kinds of keys, long after a table of the second epoch was acknowledged.
+func sendAll(j *checker) {
+	j.acks = []ack{{epochVersions, time.Now().Add(-2 * keyDelay)}, {2 * epochVersions, time.Now()}}
+	j.recordProposed(2 * epochVersions)
+	for _, q := range []sending{
+		{id: "r", key: fixedKey("second")}, {id: "public", public: true}, {id: "unknown", key: unknownKey}, {id: "old", key: epochKey(0)}, {id: "new", key: epochKey(1)}, {id: "moved", key: movingKey},
+	} {
+		j.recordSent(q)
+	}
+}
+
 // askedAgain is the second sending of a request, with the id of the first.
 var askedAgain = sending{id: "r", n: 1}
 
@@ -148,9 +172,19 @@
 // failed request and one after a drain.
 func TestCheckerAcceptsValidRun(t *testing.T) {
 	j := newChecker()
+	sendAll(j)
+	for id, tenant := range map[string]string{"r/0": "second", "moved/0": "third", "new/0": "first"} {
+		j.checkTenant(id, http.Header{"X-Tenant": {tenant}})
+	}
+	j.checkTenant("public/0", http.Header{})
+	j.checkKeyRefused("unknown/0")
+	j.checkKeyRefused("old/0")
+	j.checkKeyRefused("new/0")
 	j.recordRun("r/0", "s0", false)
 	j.recordRun("r/0", "s0", false)
 	j.markFaulty(time.Hour)
+	j.recordSent(sending{id: "old", n: 1, key: epochKey(0)})
+	j.checkTenant("old/1", http.Header{"X-Tenant": {"first"}})
 	j.recordOutcome("r/0", response{status: http.StatusServiceUnavailable})
 	j.recordRun("r/0", "s1", true)
 	j.recordRefusal("r/1", "s0", false)
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -113,6 +113,7 @@
 	if !strings.HasPrefix(sending, id+"/") {
 		s.checker.report("%s got the request %q with the header of sending %q", s.id, id, sending)
 	}
+	s.checker.checkTenant(sending, r.Header)
 	p := s.plan(r.Method)
 	if p.status == http.StatusServiceUnavailable {
 		s.checker.recordRefusal(sending, s.service, p.afterDrain)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,5 +29,6 @@
 		require.Positive(t, r.Served)
 		require.Positive(t, r.Tables)
 		require.Positive(t, r.SecondAnswers)
+		require.Positive(t, r.KeysRefused)
 	}
 }
