--- a/internal/conn/mesh_test.go
+++ b/internal/conn/mesh_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"path/filepath"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"sassafrasring.dev/sassafrasring/internal/cert"
+	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
 
@@ -75,3 +79,69 @@
 		require.NoError(b, s.Recv(&got))
 	}
 }
+
+// TestCallsBetweenNodesGetTheirOwnAnswers runs calls over one link whose answers come twice, late, not at all or cut short: each call
+// gets its own answer or an error.
+func TestCallsBetweenNodesGetTheirOwnAnswers(t *testing.T) {
+	const (
+		workers, rounds = 8, 50
+		patience        = 10 * time.Millisecond
+	)
+	// gone holds a channel for each late call, which is closed once the caller has given up.
+	var gone sync.Map
+	kinds := []string{"once", "twice", "late", "never", "cut", "damaged"}
+	from, _, to := newPair(t, func(_ context.Context, s *Stream) {
+		var p payload
+		if s.Recv(&p) != nil {
+			return
+		}
+		whole, err := frame.Append(nil, p)
+		if err != nil {
+			return
+		}
+		var kind string
+		_, _ = fmt.Sscan(string(p.Data), &kind)
+		switch kind {
+		case "twice":
+			_ = s.write(whole)
+		case "late":
+			left, _ := gone.Load(string(p.Data))
+			<-left.(chan struct{})
+		case "never":
+			return
+		case "cut":
+			whole = whole[:len(whole)-1]
+		case "damaged":
+			whole[len(whole)-1] ^= 1
+		}
+		_ = s.write(whole)
+	})
+	var wait sync.WaitGroup
+	for w := range workers {
+		wait.Go(func() {
+			for n := range rounds {
+				kind := kinds[(w+n)%len(kinds)]
+				sent := payload{fmt.Appendf(nil, "%s %d/%d", kind, w, n)}
+				left := make(chan struct{})
+				gone.Store(string(sent.Data), left)
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				if kind == "late" {
+					cancel()
+					ctx, cancel = context.WithTimeout(context.Background(), patience)
+				}
+				var got payload
+				err := from.Call(ctx, to, KindQuery, sent, &got)
+				cancel()
+				close(left)
+				if wantErr := kind != "once" && kind != "twice"; wantErr != (err != nil) {
+					t.Errorf("%s: %v", sent.Data, err)
+				}
+				if err == nil && string(got.Data) != string(sent.Data) {
+					t.Errorf("%s got the answer of %s", sent.Data, got.Data)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	require.Equal(t, 1, from.Links())
+}
--- a/internal/conn/mux_test.go
+++ b/internal/conn/mux_test.go
@@ -201,3 +201,33 @@
 		<-got
 	}
 }
+
+// TestReplyOfAnotherServerOrShardIsIgnored has an owner reply for another server or shard than the attempt's.
+func TestReplyOfAnotherServerOrShardIsIgnored(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Reply)
+	}{
+		{"server", func(r *Reply) { r.Server = "other" }},
+		{"shard", func(r *Reply) { r.Shard++ }},
+		{"attempt", func(r *Reply) { r.Attempt++ }},
+	} {
+		l := newMuxTest(t)
+		l.owner.Run = func(_ context.Context, b *Batch, s Sub, _ time.Duration) Reply {
+			r := Reply{Attempt: s.Attempt, Shard: s.Shard, Server: s.Server, Result: ResultDone, Data: b.Body}
+			if s.Attempt == 0 {
+				c.change(&r)
+			}
+			return r
+		}
+		_, wrong := l.send(`1`, subs(1)...)
+		own := Sub{Attempt: 5, Shard: 5, Server: "s5"}
+		_, right := l.send(`2`, own)
+		require.Equal(t, `2`, string((<-right).Data), c.name)
+		l.muxes.mu.Lock()
+		x := l.muxes.open["b"]
+		l.muxes.mu.Unlock()
+		x.out.abort()
+		require.Equal(t, ResultFailed, (<-wrong).Result, c.name)
+	}
+}
