--- a/internal/conn/direct_test.go
+++ b/internal/conn/direct_test.go
@@ -48,6 +48,15 @@
 	return d
 }
 
+// answeringServer starts a server that answers each request by the text that answer returns.
+func answeringServer(t *testing.T, answer func(n int, req *http.Request) string) *Direct {
+	return scriptedServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+			_, _ = io.WriteString(c, answer(n, req))
+		}
+	})
+}
+
 func readRequest(t *testing.T, r *bufio.Reader) *http.Request {
 	req, err := http.ReadRequest(r)
 	if err != nil {
--- a/internal/conn/history_test.go
+++ b/internal/conn/history_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,10 +24,8 @@
 		{[]string{"a", "a", "b", "a", "b", "c"}, []uint64{1, 2, 2, 3, 3, 3}},
 		{[]string{"a", "b", "b", "a", "c"}, []uint64{1, 1, 2, 2, 2}},
 	} {
-		d := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-			for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
-				_, _ = io.WriteString(c, answerTo(req, "ok"))
-			}
+		d := answeringServer(t, func(_ int, req *http.Request) string {
+			return answerTo(req, "ok")
 		})
 		var got []uint64
 		for i, id := range c.ids {
@@ -41,10 +40,8 @@
 
 // TestConnectionIsClosedWhenItsHistoryIsFull sends more requests than a connection can tell apart.
 func TestConnectionIsClosedWhenItsHistoryIsFull(t *testing.T) {
-	d := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
-			_, _ = io.WriteString(c, answerTo(req, "ok"))
-		}
+	d := answeringServer(t, func(_ int, req *http.Request) string {
+		return answerTo(req, "ok")
 	})
 	for i := range 2*maxHistory + 1 {
 		a, err := do(t, d, outgoing(fmt.Sprint("id", i)))
--- a/internal/conn/owner_test.go
+++ b/internal/conn/owner_test.go
@@ -247,3 +247,63 @@
 		o.Update(nil, cold)
 	}
 }
+
+// TestLateCopiesAreNoAnswersToFirstNodes has a server of the owners' protocol refuse a search, run
+// the next one on the same connection and send a copy of the refusal before its answer.
+func TestLateCopiesAreNoAnswersToFirstNodes(t *testing.T) {
+	snapshot := tier.Snapshot{Version: 7, Shards: 1}
+	for _, c := range []struct{ name, refusal string }{
+		{"not run", "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: first\r\n" + tier.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"},
+		{"not held", "HTTP/1.1 409 Conflict\r\nX-Request-Id: first\r\nContent-Length: 0\r\n\r\n"},
+		{"error", "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: first\r\nContent-Length: 0\r\n\r\n"},
+		{"not run, without an ID", anonymousRefusal + tier.HeaderNotRun + ": 1\r\n\r\n"},
+	} {
+		l := rawServer(t, func(conn net.Conn) {
+			r := bufio.NewReader(conn)
+			for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+				_, _ = io.WriteString(conn, c.refusal)
+			}
+		})
+		sent := http.Header{tier.HeaderRequestID: {"second"}, tier.HeaderVersion: {"7"}, tier.HeaderShard: {"0/1"}}
+		a, err := l.post(context.Background(), SearchPath, sent, []byte(`1`))
+		require.NoError(t, err, c.name)
+		rep := Reply{}
+		applySearchAnswer(sent, snapshot, a, &rep)
+		require.Equal(t, ResultFailed, rep.Result, c.name)
+		require.Equal(t, tier.ReasonTruncated, rep.Reason, c.name)
+		require.Empty(t, l.idle.list, "%s: a connection that carried an answer to another request is closed", c.name)
+	}
+}
+
+// TestServerThatDiesInTheMiddleOfAHeadIsDead has a server break off in a header line and stop
+// listening: the answer is malformed, and the death is noticed.
+func TestServerThatDiesInTheMiddleOfAHeadIsDead(t *testing.T) {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := n.Accept()
+		if err != nil {
+			return
+		}
+		takeRequest(c)
+		_ = n.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Requ")
+		_ = c.Close()
+	}()
+	deaths := 0
+	o := &Owner{
+		Clock: tier.NewClock(), MaySend: func(tier.ServerID) bool { return true }, Limits: DefaultAnswerLimits(),
+		Settings: func(tier.Service, tier.ServerID) Settings {
+			return Settings{MaxQueue: 1, SilenceTimeout: 10 * time.Second}
+		},
+		OnDeath:    func(Death) { deaths++ },
+		OnSilent:   func(tier.ServerID, tier.RequestID) {},
+		OnRejected: func(tier.ServerID, tier.RequestID, tier.Reason) {},
+	}
+	o.Update(map[tier.ServerID]tier.Announcement{"s1": {Server: "s1", Instance: 1, Address: n.Addr().String(), Slots: 1, Conns: 1}}, func(tier.Announcement) bool { return false })
+	rep := o.Query(context.Background(), &Batch{Request: "id", Body: []byte(`1`)}, Sub{Server: "s1"}, o.Clock.Now()+10*time.Second)
+	require.Equal(t, ResultFailed, rep.Result)
+	require.Equal(t, tier.ReasonTruncated, rep.Reason)
+	require.True(t, rep.Died)
+	require.Equal(t, 1, deaths)
+}
--- a/internal/conn/stray_test.go
+++ b/internal/conn/stray_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -48,10 +49,8 @@
 
 // TestRepeatedRequestIsReported sends an ID twice over one connection.
 func TestRepeatedRequestIsReported(t *testing.T) {
-	d := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
-			_, _ = io.WriteString(c, answerTo(req, "ok"))
-		}
+	d := answeringServer(t, func(_ int, req *http.Request) string {
+		return answerTo(req, "ok")
 	})
 	var got []Repeat
 	d.OnRepeat = func(r Repeat) { got = append(got, r) }
