--- a/pkg/client/forward_test.go
+++ b/pkg/client/forward_test.go
@@ -1,10 +1,12 @@
 package client
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -78,3 +80,99 @@
 		require.Equal(t, c.want, RetryAfter(http.Header{"Retry-After": {c.value}}), c.value)
 	}
 }
+
+// clientOf returns a client whose only entry is a node.
+func clientOf(node *httptest.Server) *Client {
+	return &Client{cachedEntries: []string{strings.TrimPrefix(node.URL, "http://")}, cachedUntil: time.Now().Add(time.Hour), HTTP: &http.Client{Transport: Transport()}}
+}
+
+// TestForwardNeverResendsOnAKeptConnection has a node answer one request and close the connection after it has read the next one,
+// which may run once only although its method or a header lets net/http send it again.
+func TestForwardNeverResendsOnAKeptConnection(t *testing.T) {
+	for _, c := range []struct{ method, body, key, framing string }{
+		{http.MethodGet, "", "", ""},
+		{http.MethodHead, "", "", ""},
+		{http.MethodOptions, "", "", ""},
+		{http.MethodPost, "", "", ""},
+		{http.MethodPost, "body", "", ""},
+		{http.MethodPost, "body", "k", ""},
+		{http.MethodPost, "", "k", "chunked"},
+	} {
+		var mu sync.Mutex
+		var received []string
+		node := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			b := make([]byte, max(0, r.ContentLength))
+			_, _ = r.Body.Read(b)
+			mu.Lock()
+			defer mu.Unlock()
+			received = append(received, r.URL.Path+" "+string(b)+strings.Join(r.TransferEncoding, ""))
+			if r.URL.Path != "/first" {
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		client := clientOf(node)
+		send := func(path string) error {
+			req, err := http.NewRequest(c.method, "http://a.example"+path, strings.NewReader(c.body))
+			require.NoError(t, err)
+			if c.key != "" {
+				req.Header.Set("Idempotency-Key", c.key)
+			}
+			resp, err := client.Forward(testContext(t), req)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			return err
+		}
+		require.NoError(t, send("/first"), c.method)
+		require.Error(t, send("/second"), c.method)
+		node.Close()
+		require.Equal(t, []string{"/first " + c.body + c.framing, "/second " + c.body + c.framing}, received, "%s %q", c.method, c.key)
+	}
+}
+
+// forward sends a request through a node and returns the response with its body.
+func forward(t *testing.T, node *httptest.Server, req *http.Request) (*http.Response, string) {
+	resp, err := clientOf(node).Forward(testContext(t), req)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return resp, string(body)
+}
+
+// TestForwardReturnsTheAnswerToItsRequest has a node answer by redirections to itself: the caller gets those and not what is there.
+func TestForwardReturnsTheAnswerToItsRequest(t *testing.T) {
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect} {
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/x" {
+				w.Header().Set("Location", "http://"+r.Context().Value(http.LocalAddrContextKey).(interface{ String() string }).String()+"/other")
+				w.WriteHeader(status)
+			}
+			_, _ = io.WriteString(w, "body of "+r.URL.Path)
+		}))
+		req, err := http.NewRequest(http.MethodGet, "http://a.example/x", nil)
+		require.NoError(t, err)
+		resp, body := forward(t, node, req)
+		node.Close()
+		require.Equal(t, status, resp.StatusCode)
+		require.Equal(t, "body of /x", body)
+	}
+}
+
+// TestTransportAsksForBodiesAsTheyAre checks that no encoding of the body is asked for unless the caller does: nodes take an encoded
+// body for one that is not the server's.
+func TestTransportAsksForBodiesAsTheyAre(t *testing.T) {
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get("Accept-Encoding"))
+	}))
+	defer node.Close()
+	for _, want := range []string{"", "br"} {
+		req, err := http.NewRequest(http.MethodGet, "http://a.example/x", nil)
+		require.NoError(t, err)
+		if want != "" {
+			req.Header.Set("Accept-Encoding", want)
+		}
+		_, body := forward(t, node, req)
+		require.Equal(t, want, body)
+	}
+}
