soak: keys stay for about 6 s

Cause: keys changed every 2 s, so that tables of three epochs could be in force and a host that never took keys away was not caught; TestCallerSendsOnce had no checker.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -36,7 +36,7 @@
 			closeWithReset(c)
 		}
 	}()
-	f := &Fleet{port: l.Addr().(*net.TCPAddr).Port}
+	f := &Fleet{port: l.Addr().(*net.TCPAddr).Port, checker: newChecker()}
 	h := &host{fleet: f, id: "127.0.0.1"}
 	client := &http.Client{Transport: &http.Transport{}}
 	require.Equal(t, http.StatusOK, f.request(t.Context(), client, h, http.MethodGet, "/read/", sending{id: "a"}, nil).status)
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -16,12 +16,13 @@
 	// movingKey belongs to another tenant in each epoch, unknownKey to none ever.
 	movingKey  = keyPrefix + "moving"
 	unknownKey = keyPrefix + "unknown"
-	// epochVersions is the number of versions of the routing table with the same keys.
-	epochVersions = 4 * operators
+	// epochVersions is the number of versions of the routing table with the same keys. An epoch lasts for about 6 s, so that at any
+	// time without faults the tables of one or two may be in force.
+	epochVersions = 10 * operators
 	// keyDelay is the time after the acknowledgement of a table from which hosts in contact go by it.
 	keyDelay = 4 * time.Second
 	// oldEpochs is how many former epochs callers use keys of.
-	oldEpochs = 3
+	oldEpochs = 2
 	// Shares of the requests with a key that changes, with an unknown one and without one, and of reads on the public route.
 	changingPercent = 20
 	unknownPercent  = 5
