--- a/internal/vers/document.go
+++ b/internal/vers/document.go
@@ -13,11 +13,11 @@
 
 // document is a routing table file in the native format: JSON with comments.
 type document struct {
-	Version  *RoutesVersion   `json:"version"`
-	Routes   []documentRoute  `json:"routes"`
-	Services []documentEntry  `json:"services"`
-	Limits   documentLimits   `json:"limits"`
-	Tenants  []documentTenant `json:"tenants"`
+	Version  *RoutesVersion  `json:"version"`
+	Routes   []documentRoute `json:"routes"`
+	Services []documentEntry `json:"services"`
+	Limits   documentLimits  `json:"limits"`
+	Tenants  documentTenants `json:"tenants"`
 }
 
 type documentRoute struct {
@@ -37,6 +37,20 @@
 	Public     bool           `json:"public"`
 }
 
+// documentTenants is the list of tenants. A second list in one document is an error: encoding/json decodes it into the elements of
+// the first one, so that a tenant without keys would get another one's.
+type documentTenants []documentTenant
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *documentTenants) UnmarshalJSON(b []byte) error {
+	if *l != nil {
+		return errors.New("tenants stands twice")
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	return d.Decode((*[]documentTenant)(l))
+}
+
 type documentTenant struct {
 	Name     tier.Tenant `json:"name"`
 	Keys     []string    `json:"keys"`
--- a/internal/vers/document_test.go
+++ b/internal/vers/document_test.go
@@ -57,6 +57,7 @@
 		{`{"name": "small"}`, `{"name": "acme"}`},
 		{`{"name": "small"}`, `{}`},
 		{`{"name": "small"}`, `"small"`},
+		{`"limits"`, `"tenants": [{"name": "first"}], "limits"`},
 		{`{"name": "small"}`, `{"name": "small", "api_keys": []}`},
 	} {
 		r, err := DecodeRoutes([]byte(strings.Replace(exampleTable, c.old, c.new, 1)))
