conn, edge: one budget for what callers hold

Cause: net/http parses heads into maps before a handler runs (122 bytes a field), nothing bounds documents on the control address, and connections are counted nowhere. Change: conn.CallerBudget accounts for connections, heads while their bytes and lines arrive, bodies and unread answers over all HTTP listeners of a node; by default a quarter of the memory limit, five eighths of the descriptors. Short of room, the listener most above its share yields, of it the remote address that holds most, of that the connection that has held most for longest; never a request that runs. Incomplete heads and bodies get 503 with Retry-After. Without a memory limit nothing changes.

--- a/internal/conn/body.go
+++ b/internal/conn/body.go
@@ -28,6 +28,13 @@
 	return body.readAll(r, length)
 }
 
+// ReadCallerBody reads a caller's body like ReadBody. What it takes is also charged to the caller's connection, which may be
+// nil.
+func ReadCallerBody(c *Caller, r io.Reader, length, limit int64, b *Budget) ([]byte, Reservation, error) {
+	body := bodyReader{limit: limit, res: Reservation{budget: b, caller: c}}
+	return body.readAll(r, length)
+}
+
 // bodyReader collects a body in pieces, so that a long one is copied once.
 type bodyReader struct {
 	limit int64
@@ -63,6 +70,9 @@
 	if length >= 0 {
 		first = min(length, freeBodyBytes)
 	}
+	if err := b.res.charge(first); err != nil {
+		return err
+	}
 	b.last = make([]byte, 0, first)
 	for b.size != length {
 		if len(b.last) == cap(b.last) {
@@ -99,6 +109,9 @@
 	if length >= 0 {
 		piece = min(piece, length-b.size)
 	}
+	if err := b.res.charge(piece); err != nil {
+		return err
+	}
 	if err := b.res.grow(b.size + piece - freeBodyBytes - b.res.n); err != nil {
 		return err
 	}
--- a/internal/conn/budget.go
+++ b/internal/conn/budget.go
@@ -53,6 +53,21 @@
 type Reservation struct {
 	budget *Budget
 	n      int64
+	// caller, if not nil, is the connection that the body came over, and charged what is charged to it.
+	caller  *Caller
+	charged int64
+}
+
+// charge charges n more bytes to the caller.
+func (r *Reservation) charge(n int64) error {
+	if r.caller == nil {
+		return nil
+	}
+	if !r.caller.grow(n) {
+		return ErrNoRoom
+	}
+	r.charged += n
+	return nil
 }
 
 // grow reserves n more bytes.
@@ -71,6 +86,10 @@
 func (r *Reservation) Release() {
 	r.budget.giveBack(r.n)
 	r.n = 0
+	if r.charged > 0 {
+		r.caller.grow(-r.charged)
+		r.charged = 0
+	}
 }
 
 // Reservations are those of one request. They are released together, as its answer may be merged
@@ -83,7 +102,7 @@
 
 // Add adds a reservation, or releases it if the others have been released.
 func (r *Reservations) Add(v Reservation) {
-	if v.n == 0 {
+	if v.n == 0 && v.charged == 0 {
 		return
 	}
 	r.mu.Lock()
--- a/internal/conn/listener.go
+++ b/internal/conn/listener.go
@@ -192,6 +192,9 @@
 	if d, ok := c.(*drainConn); ok {
 		d.setState(s)
 	}
+	if k := callerOf(c); k != nil {
+		k.SetState(s)
+	}
 }
 
 // recordingListener keeps the socket of the last connection, which a listener with a limit hides. Only
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -25,6 +25,9 @@
 		if status == http.StatusServiceUnavailable {
 			out.RetryAfter = noRoomRetryAfter
 		}
+		if conn.CallerFrom(r.Context()).Yields() {
+			w.Header().Set("Connection", "close")
+		}
 		n.respond(w, out)
 		return
 	}
@@ -35,6 +38,10 @@
 	if out.Release != nil {
 		defer out.Release()
 	}
+	if c := conn.CallerFrom(r.Context()); c != nil {
+		c.DropHead(r)
+		c.Answer(int64(len(out.Body)))
+	}
 	n.respond(w, out)
 }
 
@@ -56,9 +63,14 @@
 	if r.ContentLength > limit {
 		return nil, room, http.StatusRequestEntityTooLarge
 	}
+	c := conn.CallerFrom(r.Context())
 	body, room, err := n.readBody(w, r, limit, in.TimeLeft)
+	r.Trailer = nil
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil && !c.Run(), err != nil && c.Yields():
+		room.Release()
+		return nil, conn.Reservation{}, http.StatusServiceUnavailable
 	case errors.As(err, &tooLarge) || errors.Is(err, conn.ErrBodyTooLong):
 		return nil, room, http.StatusRequestEntityTooLarge
 	case errors.Is(err, conn.ErrNoRoom):
@@ -83,7 +95,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(wait))
 		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	}
-	return conn.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, n.budget)
+	return conn.ReadCallerBody(conn.CallerFrom(r.Context()), http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, n.budget)
 }
 
 func (n *Node) bodyLimit() int64 {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -44,6 +44,8 @@
 type Listener struct {
 	Address string
 	Handler http.Handler
+	// Use tells what the listener serves.
+	Use Use
 	// Optional lets the node run without this listener if its address cannot be bound.
 	Optional bool
 }
@@ -81,6 +83,7 @@
 
 	boot         uint64
 	budget       *conn.Budget
+	callers      *conn.CallerBudget
 	answers      conn.AnswerLimits
 	mesh         *conn.Mesh
 	raft         *conn.Sender
@@ -108,6 +111,8 @@
 	oddLog event.Limit
 	// strayLog bounds the log lines about discarded answers and repeated IDs.
 	strayLog event.Limit
+	// yieldLog bounds the log lines about connections of callers that yield.
+	yieldLog event.Limit
 	// usage is accessed by maintain only.
 	usage usage
 }
@@ -171,6 +176,7 @@
 		n.answers = conn.DefaultAnswerLimits()
 	}
 	n.answers.Budget = n.budget
+	n.buildCallers()
 }
 
 // connLimit returns this node's share of the connections that a server allows.
@@ -304,12 +310,16 @@
 }
 
 func (n *Node) listen(g *run.Group, l Listener) error {
-	sock, err := conn.Listen(l.Address, nil)
+	use := n.useOf(l)
+	sock, err := conn.Listen(l.Address, n.callerListener(use))
 	if err != nil {
 		return err
 	}
 	srv := n.httpServer(l.Handler)
 	srv.ConnState = sock.ConnState
+	if n.callers != nil {
+		srv.Handler, srv.ConnContext = &guard{node: n, next: l.Handler, use: use}, conn.CallerContext
+	}
 	n.servers = append(n.servers, server{srv, sock})
 	closing := make(chan struct{})
 	g.Add(func() error {
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -125,6 +125,7 @@
 	set := n.Stats.Gauge
 	set("requests_open", "", float64(n.forwarder.Open()))
 	set("bodies_held_bytes", "", float64(n.budget.Held()))
+	n.setCallerGauges()
 	set("servers_limited", "", float64(n.forwarder.LimitedServers()))
 	tried, lost := n.forwarder.LostServers()
 	set("servers_reach", "tried", float64(tried))
--- a/internal/edge/own.go
+++ b/internal/edge/own.go
@@ -24,7 +24,7 @@
 	e.GET("/v1/entries", n.getEntries)
 	e.POST("/v1/announce", n.postAnnounce)
 	n.Ops(e.Group("/v1/ops"))
-	return []Listener{{Address: callers, Handler: n}, {Address: control, Handler: e}}
+	return []Listener{{Address: callers, Handler: n}, {Address: control, Handler: e, Use: UseControl}}
 }
 
 func (n *Node) getReady(c echo.Context) error {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -65,6 +65,8 @@
 	Mbits float64
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// CallerBytes bounds what callers hold over all listeners; 0 means a quarter of MemoryBytes.
+	CallerBytes int64
 	// Limits bounds callers' requests; BodyBytes applies until a routing table sets it.
 	Limits CallerLimits
 	// Answers bounds servers' answers. HeldBytes bounds the bodies of callers and servers that the
--- a/internal/setup/edge.go
+++ b/internal/setup/edge.go
@@ -48,6 +48,7 @@
 	BodyMs      tier.Millis `json:"body_ms" doc:"Time limit for receiving a request's body after its header." unit:"ms" allow:"100 to 600000" default:"30000"`
 	IdleMs      tier.Millis `json:"idle_ms" doc:"How long an idle connection of a caller is kept open." unit:"ms" allow:"1000 to 600000" default:"75000"`
 	MemoryMB    int         `json:"memory_mb" doc:"Memory limit of the process, near which garbage is collected more often; 0 means no limit." unit:"MB" allow:"0 to 1048576" default:"0"`
+	CallerMB    int         `json:"caller_mb" doc:"Largest sum of what callers, servers and operators hold over all HTTP addresses: 20 KiB a connection, heads as parsed, bodies, unread answers; beyond it those that hold most are refused as not run or closed. 0 means a quarter of the memory limit." unit:"MB" allow:"0 to 1048576" default:"0"`
 }
 
 // EdgeDefaults returns settings with the default of every key that has one.
@@ -123,6 +124,7 @@
 	c.number("limits.body_ms", int64(s.Limits.BodyMs), 100, 600000)
 	c.number("limits.idle_ms", int64(s.Limits.IdleMs), 1000, 600000)
 	c.number("limits.memory_mb", int64(s.Limits.MemoryMB), 0, 1<<20)
+	c.number("limits.caller_mb", int64(s.Limits.CallerMB), 0, 1<<20)
 	c.answers(s.Answers)
 	c.files("tls", s.TLS, s.TLS != (TLS{}))
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
