--- a/internal/conn/answer_test.go
+++ b/internal/conn/answer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"runtime"
 	"strings"
 	"sync"
@@ -334,6 +335,9 @@
 
 // FuzzAnswer reads arbitrary bytes as an answer: no panic, no more than the limits, all room given
 // back.
+// noStatus matches an answer whose status is below 100.
+var noStatus = regexp.MustCompile(`^HTTP/1\.[01] 0[0-9][0-9][ \r\n]`)
+
 func FuzzAnswer(f *testing.F) {
 	for _, c := range endless {
 		f.Add([]byte(c.first + c.again + c.again))
@@ -349,6 +353,7 @@
 			if err != nil {
 				break
 			}
+			require.False(t, noStatus.Match(text), "an answer behind one without a valid status")
 			require.LessOrEqual(t, int64(len(got.body)), l.BodyBytes)
 			require.GreaterOrEqual(t, got.status, http.StatusOK)
 			got.reservation.Release()
