conn, edge, client: an answer with a status below 100 is none

Cause: net/http returns such an answer, answerReader.head skipped it as an interim one, and a 200 with the same ID behind it answered the request; pkg/client returned it as the response. Change: conn.IsStatus decides wherever a status is read: servers' answers, also behind interim ones, relayed answers, pkg/client (ErrNoStatus). The exchange fails and its connection closes. 600 to 999 stay final answers, failures of the server, passed on as sent (RFC 9110, section 15). A status line of any class shows a spliced answer. reqst.Strays replaces both answerDiscarded. Measured: the failing tests pass; 20 s of FuzzAnswer found nothing.

--- a/internal/conn/answer.go
+++ b/internal/conn/answer.go
@@ -49,6 +49,7 @@
 
 var (
 	errHeadTooLong  = errors.New("head is too long")
+	errStatus       = errors.New("status is below 100")
 	errInterim      = errors.New("too many interim answers")
 	errChunkTooLong = errors.New("chunks have more overhead than content")
 	errSpliced      = errors.New("another answer begins within the answer")
@@ -133,8 +134,13 @@
 func (a *answerReader) head(req *http.Request, interim int) (*http.Response, error) {
 	for n := 0; ; n++ {
 		resp, err := http.ReadResponse(a.r, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		switch {
+		case err != nil:
+			return nil, err
+		case !IsStatus(resp.StatusCode):
+			return nil, errStatus
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
 		}
 		if n >= interim {
 			return nil, errInterim
@@ -164,6 +170,14 @@
 // consumed returns the number of bytes of the connection that have been parsed.
 func (a *answerReader) consumed() int64 { return a.meter.read - int64(a.r.Buffered()) }
 
+// IsStatus reports whether an answer can have a status. One below 100 is of no class: the answer is none. Those from 600 on are of
+// no class either, but net/http passes them on; they count as failures of the server (RFC 9110, section 15), and reach the caller
+// as the server sent them.
+func IsStatus(n int) bool { return n >= http.StatusContinue && n <= maxStatus }
+
+// maxStatus is the largest status of three digits.
+const maxStatus = 999
+
 // asMalformed wraps err in ErrMalformed, unless err means that the connection ended.
 func asMalformed(err error) error {
 	var ne net.Error
--- a/internal/conn/splice.go
+++ b/internal/conn/splice.go
@@ -23,8 +23,8 @@
 
 var lineEnd = []byte("\r\n")
 
-// statusLine matches the beginning of an answer.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9][ \r]`)
+// statusLine matches the beginning of an answer, also of one with a status of no class.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}[ \r]`)
 
 // holdsStatusLine reports whether a line of a head goes on with another answer: a server broke off within it.
 func holdsStatusLine(line string) bool {
--- a/internal/conn/status_test.go
+++ b/internal/conn/status_test.go
@@ -21,8 +21,13 @@
 	status string
 	want   int
 }{
-	{"000", 0}, {"001", 0}, {"042", 0}, {"099", 0}, {"+42", 0},
-	{"600", 600}, {"999", 999},
+	{"000", 0},
+	{"001", 0},
+	{"042", 0},
+	{"099", 0},
+	{"+42", 0},
+	{"600", 600},
+	{"999", 999},
 }
 
 // TestStatusBelow100IsNoAnswer guards against a server's answer that is taken for an interim one: the answer behind it, which has
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -109,8 +109,6 @@
 	logged   loggedState
 	// oddLog bounds the log lines about announcements and records that name no server to use.
 	oddLog event.Limit
-	// strayLog bounds the log lines about discarded answers and repeated IDs.
-	strayLog event.Limit
 	// yieldLog bounds the log lines about connections of callers that yield.
 	yieldLog event.Limit
 	// usage is accessed by maintain only.
@@ -125,8 +123,9 @@
 	n.tableChanged = make(chan struct{}, 1)
 	n.workers = &work.Pool{}
 	n.buildLimits()
+	strays := &reqst.Strays{Log: n.Log, Stats: n.Stats, Clock: n.Clock}
 	n.catalog = &catalog{
-		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
+		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: strays.AnswerDiscarded, onRepeat: strays.RequestRepeated,
 	}
 	if s := n.Settings.Source; s != "" {
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -69,6 +69,9 @@
 	if err := s.Recv(&r); err != nil {
 		return reqst.Outbound{}, tier.At("await relayed answer", string(id), err)
 	}
+	if !conn.IsStatus(r.Status) {
+		return reqst.Outbound{}, tier.At("await relayed answer", string(id), errors.Errorf("status %d", r.Status))
+	}
 	return reqst.Outbound{
 		Status: r.Status, Header: r.Header, Body: r.Body, RetryAfter: r.RetryAfterMs.Duration(), Reason: r.Reason, Attempts: max(0, r.Attempts),
 		Accounted: r.Accounted,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,8 +64,6 @@
 	draining     atomic.Bool
 	leaving      atomic.Bool
 	drainStarted chan struct{}
-	// strayLog bounds the log lines about discarded answers.
-	strayLog event.Limit
 
 	mu             sync.Mutex
 	leases         lease.Table
@@ -141,7 +139,7 @@
 		Limits: limits,
 		Clock:  n.Clock, MaySend: n.fleet.MaySend, Settings: n.serverSettings,
 		Certs: n.serverCerts(), OnDeath: n.serverDied, OnSilent: n.serverSilent, OnRejected: n.answerRejected,
-		OnStray: n.answerDiscarded,
+		OnStray: (&reqst.Strays{Log: n.Log, Stats: n.Stats, Clock: n.Clock}).AnswerDiscarded,
 	}
 	n.engine = &reqst.Engine{
 		Self: n.Settings.Node, Instance: n.instance, Clock: n.Clock, Log: n.Log, Fleet: n.fleet, Owner: n.owner, Mesh: n.mesh,
@@ -194,16 +192,6 @@
 	n.Stats.Count("answers_rejected", string(why))
 }
 
-// answerDiscarded logs and counts what a server sent that answers no waiting request.
-func (n *Node) answerDiscarded(s conn.Stray) {
-	n.Stats.Count("stray_answers", string(s.Server)+"/"+string(s.Kind))
-	if n.strayLog.Allow(n.Clock.Now()) {
-		event.AnswerDiscarded.Log(n.Log, nil, logrus.Fields{
-			"server": s.Server, "conn": s.Use.Conn, "place": s.Use.Place, "request": s.Request, "kind": s.Kind, "answer": s.Answer, "earlier": s.Earlier, "status": s.Status,
-		})
-	}
-}
-
 func (n *Node) registerHandlers() {
 	n.mesh.Handlers = map[conn.Kind]conn.Handler{
 		conn.KindQuery: n.engine.ServeQuery,
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -33,6 +33,9 @@
 // ErrResponseTooLong means that a response has a longer body than any response of an entry.
 var ErrResponseTooLong = errors.New("response is too long")
 
+// ErrNoStatus means that a response has a status below 100, so that it is none. net/http closes its connection.
+var ErrNoStatus = errors.New("response without a valid status")
+
 // defaultHTTP sends the requests of clients without an HTTP client of their own.
 var defaultHTTP = &http.Client{Transport: Transport()}
 
@@ -85,6 +88,9 @@
 		return tier.At(method+" "+path, entry, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusContinue {
+		return tier.At(method+" "+path, entry, ErrNoStatus)
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && len(b) > maxResponseBytes {
 		err = ErrResponseTooLong
--- a/pkg/client/forward.go
+++ b/pkg/client/forward.go
@@ -36,9 +36,13 @@
 		}
 		sendOnce(out)
 		resp, err := c.withoutRedirects().Do(out)
-		if err == nil {
+		if err == nil && resp.StatusCode >= http.StatusContinue {
 			return resp, nil
 		}
+		if err == nil {
+			_ = resp.Body.Close()
+			err = ErrNoStatus
+		}
 		c.expireCache()
 		var op *net.OpError
 		if !errors.As(err, &op) || op.Op != "dial" || !pause(ctx) {
