edge: callers take half of the descriptors at most

Cause: with 4,000 callers that send ahead without reading (trial, one node of 184 MB), the process had 4,048 of 4,100 descriptors: those of callers that yield have not ended at once, and requests of callers that left had opened new connections to the server. Change: half of the descriptors in place of five eighths; a unit test of the bound of connections. Measured: TestConnectionsAreBounded 10 of 10 with -race. The trial was not repeated: the lock for tests with real processes was taken.

--- a/internal/conn/caller_test.go
+++ b/internal/conn/caller_test.go
@@ -145,6 +145,22 @@
 	require.Equal(t, http.StatusOK, statusFrom(kept))
 }
 
+// TestConnectionsAreBounded guards against callers that take the process's descriptors: the one that has been silent for longest
+// yields, and a caller that is idle for less than others stays.
+func TestConnectionsAreBounded(t *testing.T) {
+	const most = 20
+	b := &CallerBudget{Limit: 1 << 30, Conns: most}
+	address := callerServer(t, b, nil)
+	first := dialCaller(t, address, "")
+	time.Sleep(10 * time.Millisecond)
+	for range 3 * most {
+		dialCaller(t, address, "")
+	}
+	require.Zero(t, statusFrom(first))
+	require.Equal(t, http.StatusOK, statusFrom(dialCaller(t, address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")))
+	require.Eventually(t, func() bool { _, conns := b.Held(); return conns <= most }, 10*time.Second, time.Millisecond)
+}
+
 // TestBodyYieldsWithARefusal guards against a body that stops short and holds room without end; and against a refusal that leaves
 // open whether the request has run.
 func TestBodyYieldsWithARefusal(t *testing.T) {
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -21,7 +21,7 @@
 	callerDivisor = 4
 	// callerConnShare is the part of the process's descriptors that callers' connections may take, in eighths; the rest is for servers,
 	// other nodes and files, and for connections that are about to end.
-	callerConnShare = 5
+	callerConnShare = 4
 	// bodyShare is the part of the budget for bodies that those of callers may take together, in eighths, so that servers' answers
 	// find room.
 	bodyShare = 6
