--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -78,6 +78,7 @@
 		Limits:     edge.CallerLimits{HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, HeaderTimeout: s.Limits.ReadMs.Duration(), BodyTimeout: s.Limits.BodyMs.Duration(), IdleTimeout: s.Limits.IdleMs.Duration()},
 		Quota:      quota.Limits{Window: s.Quota.WindowMs.Duration(), Overage: float64(s.Quota.Percent) / percent, Tolerance: float64(s.Quota.Slack)},
 		Cold:       terms.ColdBound{Overage: float64(s.Cold.Percent) / percent, Tolerance: float64(s.Cold.Fixed)},
+		AnswerTTL: s.TTLMs.Duration(), Answers: s.Answers.Limits(), HeldBytes: s.Answers.HeldBytes, MemoryBytes: int64(s.Limits.MemoryMB) * megabyte, CallerBytes: int64(s.Limits.CallerMB) * megabyte,
 	}, nil
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -44,6 +44,8 @@
 type Listener struct {
 	Address string
 	Handler http.Handler
+	// Use tells what the listener serves.
+	Use Use
 	// Optional lets the node run without this listener if its address cannot be bound.
 	Optional bool
 }
@@ -81,6 +83,7 @@
 
 	boot         uint64
 	budget       *conn.Budget
+	callers      *conn.CallerBudget
 	answers      conn.AnswerLimits
 	mesh         *conn.Mesh
 	raft         *conn.Sender
@@ -109,8 +112,8 @@
 	logged   loggedState
 	// oddLog bounds the log lines about announcements and records that name no server to use.
 	oddLog event.Limit
-	// strayLog bounds the log lines about discarded answers and repeated IDs.
-	strayLog event.Limit
+	// yieldLog bounds the log lines about connections of callers that yield.
+	yieldLog event.Limit
 	// usage is accessed by maintain only.
 	usage usage
 	// quotas holds this node's part of the tenants' quotas.
@@ -126,8 +129,10 @@
 	n.workers = &work.Pool{}
 	n.currency = newCurrency(&n.Settings, n.LeaseClock)
 	n.buildLimits()
+	strays := &reqst.Strays{Log: n.Log, Stats: n.Stats, Clock: n.Clock}
 	n.catalog = &catalog{
 		limits: &n.answers, evacuated: n.evacuations.has, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
+		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: strays.AnswerDiscarded, onRepeat: strays.RequestRepeated,
 	}
 	if s := n.Settings.Source; s != "" {
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
@@ -182,6 +187,7 @@
 		n.answers = conn.DefaultAnswerLimits()
 	}
 	n.answers.Budget = n.budget
+	n.buildCallers()
 }
 
 // connLimit returns this node's share of the connections that a server allows.
@@ -324,12 +330,16 @@
 }
 
 func (n *Node) listen(g *run.Group, l Listener) error {
-	sock, err := conn.Listen(l.Address, nil)
+	use := n.useOf(l)
+	sock, err := conn.Listen(l.Address, n.callerListener(use))
 	if err != nil {
 		return err
 	}
 	srv := n.httpServer(l.Handler)
 	srv.ConnState = sock.ConnState
+	if n.callers != nil {
+		srv.Handler, srv.ConnContext = &guard{node: n, next: l.Handler, use: use}, conn.CallerContext
+	}
 	n.servers = append(n.servers, server{srv, sock})
 	closing := make(chan struct{})
 	g.Add(func() error {
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -110,6 +110,7 @@
 	EvacuationNotKnown  = Event{337, logrus.WarnLevel, "evacuated zones not fetched", "A peer knows a newer set of evacuated zones but did not send it in time; the node tries again. Fields: peer."}
 	EvacuationRestored  = Event{338, logrus.ErrorLevel, "evacuated zones committed again", "The control leader's state lacked the set of evacuated zones in force: it came from a snapshot of an earlier build. The leader commits the set once more. Fields: version (in force), held (by the state)."}
 	ServerCold          = Event{339, logrus.InfoLevel, "server warms up", "A server stated to this node that it is cold, or that it is warm again. Fields: server, service, cold_ms (remaining; 0 once it is warm)."}
+	CallerYielded       = Event{340, logrus.WarnLevel, "caller yields", "Callers hold more than the node allows (limits.caller_mb); a connection was closed, or its request was refused as not run, so that others find room. Limited to 20 lines a second. Fields: listener (callers, control, ready, entries, metrics, pages), kind (idle: a connection without a request; head, body: one that was not complete; answer: one that the caller did not read), remote (address, or network of an IPv6 address), held (bytes that the connection held), crowd (bytes that all connections from that address to this listener held)."}
 	RecordFailed        = Event{309, logrus.WarnLevel, "write record failed", "The outcome could not be recorded in time; a resend of the write gets the outcome unknown. Fields: claim."}
 )
 
@@ -123,4 +124,5 @@
 	QuotaGranting, QuotaExhausted, QuotaUnavailable, QuotaTooSmall,
 	EvacuationsInForce, EvacuationAccepted, EvacuationNotKnown, EvacuationRestored, ServerCold,
 	RequestRefused,
+	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored, AnswerDiscarded, RequestRepeated, CallerYielded,
 }
