--- a/internal/cmdln/edge.go
+++ b/internal/cmdln/edge.go
@@ -72,13 +72,12 @@
 	return edge.Settings{
 		ID: s.ID, Bind: s.Bind, Source: s.Source, Name: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Control: s.Control, LinkPort: s.LinkPort, GossipPort: s.GossipPort,
 		Seeds: s.Seeds, Bootstrap: s.Bootstrap, Data: s.Data, Tolerance: s.Tolerance, AnnounceInterval: s.AnnounceIntervalMs.Duration(), GracePeriod: s.GraceMs.Duration(),
-		AnswerTTL: s.TTLMs.Duration(), Answers: s.Answers.Limits(), HeldBytes: s.Answers.HeldBytes, MemoryBytes: int64(s.Limits.MemoryMB) * megabyte,
+		AnswerTTL: s.TTLMs.Duration(), Answers: s.Answers.Limits(), HeldBytes: s.Answers.HeldBytes, MemoryBytes: int64(s.Limits.MemoryMB) * megabyte, CallerBytes: int64(s.Limits.CallerMB) * megabyte,
 		Revocation: edge.Revocation{Strict: s.Revocation.Strict, Limit: s.Revocation.LimitMs.Duration()},
 		Budget:     reqst.Allowance{Ratio: float64(s.Repeats.Percent) / percent, Fixed: float64(s.Repeats.Fixed), Window: s.Repeats.WindowMs.Duration()},
 		Limits:     edge.CallerLimits{HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, HeaderTimeout: s.Limits.ReadMs.Duration(), BodyTimeout: s.Limits.BodyMs.Duration(), IdleTimeout: s.Limits.IdleMs.Duration()},
 		Quota:      quota.Limits{Window: s.Quota.WindowMs.Duration(), Overage: float64(s.Quota.Percent) / percent, Tolerance: float64(s.Quota.Slack)},
 		Cold:       terms.ColdBound{Overage: float64(s.Cold.Percent) / percent, Tolerance: float64(s.Cold.Fixed)},
-		AnswerTTL: s.TTLMs.Duration(), Answers: s.Answers.Limits(), HeldBytes: s.Answers.HeldBytes, MemoryBytes: int64(s.Limits.MemoryMB) * megabyte, CallerBytes: int64(s.Limits.CallerMB) * megabyte,
 	}, nil
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -131,8 +131,7 @@
 	n.buildLimits()
 	strays := &reqst.Strays{Log: n.Log, Stats: n.Stats, Clock: n.Clock}
 	n.catalog = &catalog{
-		limits: &n.answers, evacuated: n.evacuations.has, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
-		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: strays.AnswerDiscarded, onRepeat: strays.RequestRepeated,
+		limits: &n.answers, evacuated: n.evacuations.has, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: strays.AnswerDiscarded, onRepeat: strays.RequestRepeated,
 	}
 	if s := n.Settings.Source; s != "" {
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
--- a/internal/edge/proof_test.go
+++ b/internal/edge/proof_test.go
@@ -78,8 +78,8 @@
 			require.NotEqual(t, tier.ReasonUnproven, reason(n, "/"), c.name)
 		}
 		cancelRest()
-		<-ended
-		<-ended
+		_ = <-ended
+		_ = <-ended
 		lost := time.Now().Add(limit)
 		require.Eventually(t, func() bool { return !nodes[0].ProofHeld() && !nodes[3].ProofHeld() }, 30*time.Second, 10*time.Millisecond, c.name)
 		if c.strict {
@@ -95,7 +95,7 @@
 			}, 30*time.Second, 10*time.Millisecond, "%s: the hosts that are left stay in the list, as there is no other", c.name)
 		}
 		cancel()
-		<-ended
-		<-ended
+		_ = <-ended
+		_ = <-ended
 	}
 }
--- a/internal/proc/event/event.go
+++ b/internal/proc/event/event.go
@@ -120,9 +120,8 @@
 	NodeStarted, NodeReady, ConfigInForce, ControlLeaseExpired, ControlLeaseRenewed, NodeIsolated, DrainStarted, DrainEnded, PeerRefused, NodeStopped, ConfigFromPeer, SettingsInvalid,
 	RoutesInForce, RoutesUnreadable, RoutesFetchFailed, ReplicaReopening, HostChanged, RoutesRefused, SettingsReloaded, SettingsRefused, LocalCopyFailed, LeaderReached, LeaderUnreachable, ListenFailed, ReplicaUnresponsive, RoutesRestored, SeedIgnored,
 	ServerAnnounced, ServerLeaseEnded, ServerDied, ServerSilent, AnswerRejected, AnnouncementRefused, AccessRefused, RequestQuarantined, WriteUnknown, RecordFailed, RequestServed, RequestFailed,
-	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored, AnswerDiscarded, RequestRepeated,
+	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored, AnswerDiscarded, RequestRepeated, CallerYielded,
 	QuotaGranting, QuotaExhausted, QuotaUnavailable, QuotaTooSmall,
 	EvacuationsInForce, EvacuationAccepted, EvacuationNotKnown, EvacuationRestored, ServerCold,
 	RequestRefused,
-	ServerLimitChanged, ServerLimited, ServersOutOfReach, RelayFailed, RequestDiverted, ServerLeaving, RecordIgnored, AnswerDiscarded, RequestRepeated, CallerYielded,
 }
--- a/internal/proc/shed/gate.go
+++ b/internal/proc/shed/gate.go
@@ -142,11 +142,11 @@
 
 // step corrects the levels by the reports since the last step.
 func (g *Gate) step(now time.Duration) {
-	steps := (now - g.stepAt) / stepInterval
+	steps := int((now - g.stepAt) / stepInterval)
 	if steps == 0 {
 		return
 	}
-	g.stepAt += steps * stepInterval
+	g.stepAt += time.Duration(steps) * stepInterval
 	mean := 0.0
 	if g.reports >= minReports {
 		mean = g.sum / float64(g.reports)
