--- a/spec/check.sh
+++ b/spec/check.sh
@@ -27,4 +27,6 @@
 check relay '' pass
 for limit in 1 3; do check relay "-DLIMIT=$limit" pass; done
 for v in NOLEASE RETURN ANYNODE TRUST PROMISE COUNT; do check relay "-D$v" caught; done
+check proof '' pass
+for v in RECEIPT NOQUORUM NOAGE NOTABLE STOPPED SWAP KEPT; do check proof "-D$v" caught; done
 echo "models: all as expected"
