--- a/internal/proc/proof/proof.go
+++ b/internal/proc/proof/proof.go
@@ -249,10 +249,10 @@
 	case s.Replica && h.leader != "":
 		preferred = h.leader
 	case s.Replica:
-	case len(others) > 0:
-		preferred, others = others[0], others[1:]
-	default:
+	case len(others) == 0:
 		return ""
+	default:
+		preferred, others = others[0], others[1:]
 	}
 	if n%2 == 0 || len(others) == 0 {
 		return preferred
