conn: bodies at one listener yield to those at another

Cause: within its share of all that callers hold, a listener's bodies could take all that bodies may take, and a routing table at the control address was refused. Change: short of room for bodies only, shares of listeners do not count.

--- a/internal/conn/caller_test.go
+++ b/internal/conn/caller_test.go
@@ -185,6 +185,26 @@
 	require.Eventually(t, func() bool { return budget.Held() == 0 }, 10*time.Second, time.Millisecond)
 }
 
+// TestBodiesYieldToOtherListeners guards against bodies at one listener, within its share of all, that leave no room for a body at
+// another.
+func TestBodiesYieldToOtherListeners(t *testing.T) {
+	b := &CallerBudget{Limit: 1 << 30, Bodies: 100 << 10}
+	read := func(c *Caller, w http.ResponseWriter, r *http.Request) {
+		_, room, err := ReadCallerBody(c, r.Body, r.ContentLength, 1<<20, nil)
+		defer room.Release()
+		if err != nil || !c.Run() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	crowded, other := callerServer(t, b, read), callerServer(t, b, read)
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 90<<10)
+	short := dialCaller(t, crowded, head+strings.Repeat("x", 90<<10-1))
+	require.Eventually(t, func() bool { held, _ := b.Held(); return held > 90<<10 }, 10*time.Second, time.Millisecond)
+	time.Sleep(10 * time.Millisecond)
+	require.Equal(t, http.StatusOK, statusFrom(dialCaller(t, other, head+strings.Repeat("x", 90<<10))))
+	require.Equal(t, http.StatusServiceUnavailable, statusFrom(short))
+}
+
 // TestHeadCount finds the end of a head where net/http does.
 func TestHeadCount(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/conn/callers.go
+++ b/internal/conn/callers.go
@@ -280,6 +280,9 @@
 
 // choose returns the connection that yields next and its phase, or nil if none can.
 func (b *CallerBudget) choose(c *Caller, now int64, onlyBodies bool) (*Caller, int32) {
+	if onlyBodies {
+		return b.chooseBody(now)
+	}
 	var weights int64
 	for _, l := range b.listeners {
 		weights += l.weight
@@ -294,11 +297,27 @@
 		}
 	}
 	if over != nil {
-		if v, phase := over.choose(now, onlyBodies); v != nil {
+		if v, phase := over.choose(now, false); v != nil {
 			return v, phase
 		}
 	}
-	return c.listener.choose(now, onlyBodies)
+	return c.listener.choose(now, false)
+}
+
+// chooseBody returns the connection with a body that yields next. Listeners have no shares of what bodies may take: the budget for
+// bodies has room beside that of callers.
+func (b *CallerBudget) chooseBody(now int64) (best *Caller, phase int32) {
+	for _, l := range b.listeners {
+		if v, p := l.choose(now, true); v != nil && (best == nil || v.score(now) > best.score(now)) {
+			best, phase = v, p
+		}
+	}
+	return best, phase
+}
+
+// score returns how much a connection has held for how long.
+func (c *Caller) score(now int64) float64 {
+	return float64(c.held) * float64(max(now-c.since.Load(), 0))
 }
 
 // choose returns the connection of the heaviest remote address that has held most for longest, among those whose request does
@@ -330,7 +349,7 @@
 		if p == phaseRunning || p == phaseYielding || (p == phaseAnswer && age < int64(minAnswerAge)) || (onlyBodies && c.body == 0) {
 			continue
 		}
-		if score := float64(c.held) * float64(max(age, 0)); score > top {
+		if score := c.score(now); score > top {
 			best, phase, top = c, p, score
 		}
 	}
