--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -79,10 +79,7 @@
 type tenantNote struct{ exhausted, unavailable, small time.Duration }
 
 func newQuotas(n *Node) *quotas {
-	limits := n.Settings.Quota
-	if limits.Window <= 0 {
-		limits = quota.DefaultLimits()
-	}
+	limits := n.Settings.Quota.Sane()
 	q := &quotas{node: n, changed: make(chan struct{}, 1), waiting: map[uint64]chan quota.Outcome{}, named: map[tier.Tenant]*tenantNote{}}
 	q.pool = quota.Pool{Limits: limits, Self: n.Settings.ID, Zone: n.Settings.Zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), n.boot))}
 	q.pool.Start()
--- a/internal/proc/quota/grantor_test.go
+++ b/internal/proc/quota/grantor_test.go
@@ -30,6 +30,19 @@
 	}
 }
 
+func TestSaneLimits(t *testing.T) {
+	d := DefaultLimits()
+	for _, c := range []struct{ set, want Limits }{
+		{Limits{}, d},
+		{Limits{time.Second, 0, 0}, Limits{time.Second, 0, 0}},
+		{Limits{-time.Second, 0.2, 30}, d},
+		{Limits{time.Second, math.NaN(), math.Inf(1)}, Limits{time.Second, d.Overage, d.Tolerance}},
+		{Limits{time.Second, -1, -1}, Limits{time.Second, d.Overage, d.Tolerance}},
+	} {
+		require.Equal(t, c.want, c.set.Sane())
+	}
+}
+
 // TestReturnedTokensAreNotRenewed guards against hosts that return tokens and get them again, and so collect more than one
 // bucket.
 func TestReturnedTokensAreNotRenewed(t *testing.T) {
--- a/internal/proc/quota/limits.go
+++ b/internal/proc/quota/limits.go
@@ -22,6 +22,21 @@
 	return Limits{Window: 5 * time.Second, Overage: 0.1, Tolerance: 20}
 }
 
+// Sane returns the limits with the default for each value that makes no sense.
+func (l Limits) Sane() Limits {
+	d := DefaultLimits()
+	if l.Window <= 0 {
+		return d
+	}
+	if !(l.Overage >= 0 && l.Overage <= 1) {
+		l.Overage = d.Overage
+	}
+	if !(l.Tolerance >= 0 && l.Tolerance <= math.MaxInt32) {
+		l.Tolerance = d.Tolerance
+	}
+	return l
+}
+
 const (
 	// minLife is the shortest validity of a token. A host gets tokens from voters in other zones within a few milliseconds,
 	// and within 60 ms if two voters do not answer.
