--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -44,6 +44,8 @@
 type Listener struct {
 	Address string
 	Handler http.Handler
+	// Use tells what the listener serves.
+	Use Use
 	// Optional lets the node run without this listener if its address cannot be bound.
 	Optional bool
 }
@@ -81,6 +83,7 @@
 
 	boot         uint64
 	budget       *conn.Budget
+	callers      *conn.CallerBudget
 	answers      conn.AnswerLimits
 	mesh         *conn.Mesh
 	raft         *conn.Sender
@@ -89,8 +92,11 @@
 	gossip       *gossip
 	catalog      *catalog
 	forwarder    *reqst.Forwarder
+	currency     *currency
 	workers      *work.Pool
 	table        atomic.Pointer[table]
+	evacuations  evacuations
+	cold         coldServers
 	tableChanged chan struct{}
 	fetching     atomic.Bool
 	stopping     atomic.Bool
@@ -106,10 +112,12 @@
 	logged   loggedState
 	// oddLog bounds the log lines about announcements and records that name no server to use.
 	oddLog event.Limit
-	// strayLog bounds the log lines about discarded answers and repeated IDs.
-	strayLog event.Limit
+	// yieldLog bounds the log lines about connections of callers that yield.
+	yieldLog event.Limit
 	// usage is accessed by maintain only.
 	usage usage
+	// quotas holds this node's part of the tenants' quotas.
+	quotas *quotas
 }
 
 // Build creates the node's components; call it once before Run.
@@ -119,9 +127,11 @@
 	n.grace, n.endGrace = context.WithCancel(context.Background())
 	n.tableChanged = make(chan struct{}, 1)
 	n.workers = &work.Pool{}
+	n.currency = newCurrency(&n.Settings, n.LeaseClock)
 	n.buildLimits()
+	strays := &reqst.Strays{Log: n.Log, Stats: n.Stats, Clock: n.Clock}
 	n.catalog = &catalog{
-		limits: &n.answers, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: n.answerDiscarded, onRepeat: n.requestRepeated,
+		limits: &n.answers, evacuated: n.evacuations.has, onDial: func() { n.Stats.Count("server_connections", "opened") }, onStray: strays.AnswerDiscarded, onRepeat: strays.RequestRepeated,
 	}
 	if s := n.Settings.Source; s != "" {
 		n.catalog.source = &net.TCPAddr{IP: net.ParseIP(string(s))}
@@ -140,18 +150,23 @@
 		OnAuthFailure: func(err error) { event.PeerRefused.Log(n.Log, err, nil) },
 	}
 	n.raft = &conn.Sender{Mesh: n.mesh, Kind: kindRaft, Resolve: n.peer}
+	n.quotas = newQuotas(n)
+	n.quotas.Proven = n.ProofHeld
 	n.mesh.Handlers = map[conn.Kind]conn.Handler{
 		kindRaft:    conn.Receive(n.deliver),
 		kindControl: n.serveControl,
 		kindTable:   n.serveTable,
 		kindRelay:   n.serveRelay,
+		kindProof:   n.serveProof,
+		kindQuota:   n.quotas.serve,
+		kindZones:   n.serveZones,
 	}
 	n.forwarder = &reqst.Forwarder{
 		Clock: n.Clock, Log: n.Log, Names: n.Names, Routes: n.servedRoutes, Directory: n.catalog, Workers: n.workers, Stats: n.Stats,
 		Board:  &pace.Board{Zone: n.Settings.Zone, Limit: n.connLimit},
-		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.gossip.connected,
+		Budget: n.Settings.Budget, Share: func() float64 { return n.gossip.counts().share() }, ServerDied: n.serverDied, RoutesRecent: n.routesRecent,
 		Self: n.Settings.ID, LimitShare: n.limitShare, Notify: n.sendNotice, RelayPeers: n.relayPeers, RelayTo: n.relayTo,
-		GraceLeft: n.graceLeft,
+		GraceLeft: n.graceLeft, Proof: n.currency, Quota: n.quotas, Selection: selection{n},
 	}
 }
 
@@ -171,6 +186,7 @@
 		n.answers = conn.DefaultAnswerLimits()
 	}
 	n.answers.Budget = n.budget
+	n.buildCallers()
 }
 
 // connLimit returns this node's share of the connections that a server allows.
@@ -198,7 +214,9 @@
 // membershipChanged applies membership changes. It is called with the membership lock held.
 func (n *Node) membershipChanged(eff spread.Effects) {
 	if len(eff.Servers) > 0 {
-		n.catalog.update(n.withoutOdd(eff.Servers))
+		list := n.withoutOdd(eff.Servers)
+		n.serversWarm(list)
+		n.catalog.update(list)
 		n.serversChanged(eff.Servers)
 	}
 	if eff.Hosts {
@@ -206,6 +224,7 @@
 	}
 	for _, f := range eff.Faults {
 		n.forwarder.Blame(reqst.Death{Fingerprint: f.Fingerprint, Server: f.Server, Age: f.AgeMs.Duration()})
+		n.serverRestarts(f.Server, f.AgeMs.Duration())
 	}
 	for _, t := range eff.Notices {
 		n.forwarder.ReceiveNotice(t)
@@ -213,12 +232,16 @@
 	if eff.NewerRoutesPeer != "" {
 		n.fetchRoutes(n.ctx, eff.NewerRoutesPeer)
 	}
+	if eff.NewerEvacuationsPeer != "" {
+		n.fetchEvacuations(n.ctx, eff.NewerEvacuationsPeer)
+	}
 }
 
 // serverDied reports to the fleet that a server died while it processed a request with this
 // fingerprint.
 func (n *Node) serverDied(f tier.Fingerprint, id tier.ServerID) {
 	event.ServerDied.Log(n.Log, nil, logrus.Fields{"server": id, "fingerprint": f})
+	n.serverRestarts(id, 0)
 	n.workers.Go(func() {
 		n.gossip.withState(func(now time.Duration, s *spread.State) { s.ReportFault(now, spread.Fault{Fingerprint: f, Server: id}) })
 	})
@@ -275,6 +298,8 @@
 	work.Add(base, &g, n.saveCopies)
 	work.Add(base, &g, n.maintain)
 	work.Add(base, &g, n.watchReach)
+	work.Add(base, &g, n.watchProof)
+	work.Add(base, &g, n.quotas.watch)
 	for _, f := range actors {
 		work.Add(base, &g, f)
 	}
@@ -304,12 +329,16 @@
 }
 
 func (n *Node) listen(g *run.Group, l Listener) error {
-	sock, err := conn.Listen(l.Address, nil)
+	use := n.useOf(l)
+	sock, err := conn.Listen(l.Address, n.callerListener(use))
 	if err != nil {
 		return err
 	}
 	srv := n.httpServer(l.Handler)
 	srv.ConnState = sock.ConnState
+	if n.callers != nil {
+		srv.Handler, srv.ConnContext = &guard{node: n, next: l.Handler, use: use}, conn.CallerContext
+	}
 	n.servers = append(n.servers, server{srv, sock})
 	closing := make(chan struct{})
 	g.Add(func() error {
@@ -348,6 +377,7 @@
 			return ctx.Err()
 		case <-t.C:
 			n.catalog.closeExpired(time.Now())
+			n.cold.expire(n.Clock.Now())
 			n.publishActive()
 			if rounds++; rounds%forgetRounds == 0 {
 				n.forwarder.ForgetGone()
@@ -364,8 +394,8 @@
 
 // publishReady publishes in this host's record whether the node serves callers.
 func (n *Node) publishReady() {
-	ready := n.Ready()
-	n.gossip.updateSelf(func(h *spread.Host) { h.Ready = ready })
+	ready, unproven := n.Ready(), n.unproven()
+	n.gossip.updateSelf(func(h *spread.Host) { h.Ready, h.Unproven = ready, unproven })
 }
 
 // watchCurrent publishes whether the node serves callers when its records become current or are no
@@ -391,7 +421,9 @@
 }
 
 // Ready reports whether the node serves callers.
-func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() && n.gossip.current() }
+func (n *Node) Ready() bool {
+	return n.table.Load() != nil && !n.stopping.Load() && n.gossip.current() && !n.unproven()
+}
 
 // Stopping reports whether the node is shutting down.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
--- a/internal/edge/routes.go
+++ b/internal/edge/routes.go
@@ -109,6 +109,8 @@
 	case n.tableChanged <- struct{}{}:
 	default:
 	}
+	n.currency.installed(d.Version)
+	n.quotas.routesChanged(t)
 	n.gossip.setRoutes(d.Version)
 	n.publishReady()
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"sassafrasring.dev/sassafrasring/internal/conn"
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
+	"sassafrasring.dev/sassafrasring/internal/proc/terms"
 	"sassafrasring.dev/sassafrasring/internal/reqst"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -59,18 +61,26 @@
 	AnswerTTL time.Duration
 	// Budget limits extra sub-requests: hedges and retries.
 	Budget reqst.Allowance
+	// Cold bounds the requests to a cold server in any second; zero values mean the defaults.
+	Cold terms.ColdBound
 	// Cores is the CPU capacity in cores, which may be a fraction; Mbits is the link's bandwidth in
 	// Mbit/s. 0 means unknown.
 	Cores float64
 	Mbits float64
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// CallerBytes bounds what callers hold over all listeners; 0 means a quarter of MemoryBytes.
+	CallerBytes int64
 	// Limits bounds callers' requests; BodyBytes applies until a routing table sets it.
 	Limits CallerLimits
 	// Answers bounds servers' answers. HeldBytes bounds the bodies of callers and servers that the
 	// process holds at a time; 0 means no bound.
 	Answers   conn.AnswerLimits
 	HeldBytes int64
+	// Revocation configures how soon the removal of a tenant's key holds on all nodes.
+	Revocation Revocation
+	// Quota says how exactly tenants' limits are kept; without a window the defaults apply.
+	Quota quota.Limits
 }
 
 // CallerLimits are the limits of the callers' listener. Only BodyBytes can be replaced by a routing
--- a/internal/proc/ctrl/ctrl.go
+++ b/internal/proc/ctrl/ctrl.go
@@ -13,6 +13,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/frame"
 	"sassafrasring.dev/sassafrasring/internal/proc/disk"
+	"sassafrasring.dev/sassafrasring/internal/proc/evac"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/quorum"
 	"sassafrasring.dev/sassafrasring/internal/proc/roster"
@@ -72,6 +73,11 @@
 	// RoutesChanged, if not nil, is called with each newly committed routing table, and with the current one after
 	// the state has been read from disk or from a snapshot.
 	RoutesChanged func(store.RoutesDoc)
+	// MembersChanged, if not nil, is called with each new membership in the log, and with the current one after the state has
+	// been read from disk. It must not block.
+	MembersChanged func(Membership)
+	// EvacuationsChanged, if not nil, is called likewise with the set of evacuated zones.
+	EvacuationsChanged func(evac.Set)
 
 	core  quorum.Core
 	store *store.Store
@@ -97,6 +103,13 @@
 	hubOpening bool
 	subs       map[*Sub]bool
 	role       quorum.Role
+
+	// bootstrapped is set if this replica created the group since it was opened.
+	bootstrapped bool
+	// notifiedIndex and notifiedTerm are those of the membership that was reported last, if one was (notified).
+	notified      bool
+	notifiedIndex tier.Index
+	notifiedTerm  tier.Term
 }
 
 type proposal struct {
@@ -187,6 +200,8 @@
 		return err
 	}
 	r.notifyRoutes()
+	r.notifyMembers()
+	r.notifyEvacuations()
 	if r.Ready != nil {
 		close(r.Ready)
 	}
--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -12,6 +12,7 @@
 	"sassafrasring.dev/sassafrasring/internal/conn"
 	"sassafrasring.dev/sassafrasring/internal/proc/event"
 	"sassafrasring.dev/sassafrasring/internal/proc/pace"
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/proc/reach"
 	"sassafrasring.dev/sassafrasring/internal/proc/shed"
 	"sassafrasring.dev/sassafrasring/internal/proc/stats"
@@ -66,6 +67,9 @@
 	Repeat   bool
 	// Tenant is the caller's tenant, once its key has been recognized; "" where no key is needed.
 	Tenant tier.Tenant
+
+	// quota is what the request took from the tenant's quota.
+	quota quota.Token
 }
 
 // Outbound is the answer to a caller.
@@ -127,6 +131,8 @@
 	Proof Proof
 	// Quota holds the tenants' quotas; nil means that there are none.
 	Quota Quota
+	// Selection restricts the choice of servers; nil restricts nothing.
+	Selection Selection
 	// Self is this node.
 	Self tier.NodeID
 	// RoutesRecent reports whether the routing table is recent enough to say that a route does not
@@ -137,13 +143,16 @@
 	extraBudgets   map[tier.Service]*ExtraBudget
 	latencyMedians map[string]*pace.Median
 	// gates admit searches, by the first of their services.
-	gates      map[tier.Service]*shed.Gate
-	minShare   WindowMin
-	started    time.Duration
-	failureLog event.Limit
-	suspects   Suspects
-	terms      terms.Table
-	reach      reach.Board
+	gates       map[tier.Service]*shed.Gate
+	minShare    WindowMin
+	started     time.Duration
+	failureLog  event.Limit
+	refusalLogs refusalLogs
+	suspects    Suspects
+	terms       terms.Table
+	// coldChoices counts the choices among servers of which some are cold.
+	coldChoices uint64
+	reach       reach.Board
 	// reachUpdated is when UpdateReach was last called.
 	reachUpdated time.Duration
 	relays       relayPeers
@@ -265,7 +274,7 @@
 	}
 	tenant, refused := d.identify(in, table, r)
 	if refused != nil {
-		return d.refused(r, refused)
+		return d.refused(in, r, refused)
 	}
 	if d.outlastsGrace(in, r) {
 		return refusal(tier.ReasonDraining, drainRetryAfter)
@@ -275,11 +284,18 @@
 		event.RequestQuarantined.Log(d.Log, nil, logrus.Fields{"request": in.ID, "route": r.Name, "fingerprint": f.fingerprint})
 		return refusal(tier.ReasonQuarantine, hold)
 	}
+	var began time.Duration
+	if tenant != nil {
+		began = d.Clock.Now()
+	}
 	if refused := d.takeQuota(ctx, in, r, tenant); refused != nil {
-		return d.refused(r, refused)
+		return d.refused(in, r, refused)
 	}
 	out, done := d.serve(ctx, f, table.Version)
-	d.returnQuota(in, tenant, &out)
+	if tenant != nil {
+		d.countTenant(in, r, &out, d.Clock.Now()-began)
+	}
+	d.returnQuota(f, in, &out)
 	if done {
 		return out
 	}
@@ -295,6 +311,7 @@
 	in, r, began := f.in, f.route, d.Clock.Now()
 	if d.cut.Load() && d.relayable(in) {
 		if out, done = d.relay(ctx, in, r, version, began, account{limit: r.MaxAttempts()}); done {
+			f.passedOn = true
 			return out, true
 		}
 		left := began + in.timeLeft(r) - d.Clock.Now()
@@ -308,7 +325,7 @@
 	out = f.run(ctx)
 	if f.diverted {
 		if other, ok := d.relay(ctx, in, r, version, began, f.account()); ok {
-			out = other
+			out, f.passedOn = other, true
 		}
 	}
 	return out, false
--- a/internal/reqst/flight.go
+++ b/internal/reqst/flight.go
@@ -73,6 +73,8 @@
 	// diverted is set if the node turned out to be cut off from the servers while the request waited for them, and the
 	// request goes on through another node.
 	diverted bool
+	// passedOn is set if another node received the request.
+	passedOn bool
 }
 
 // directReply is a reply with the server's whole answer.
@@ -270,12 +272,12 @@
 	d := f.forwarder
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	i := d.Board.Pick(now, f.kind, list)
+	i, open := d.pick(now, f.kind, list)
 	switch {
 	case i >= 0:
 		d.terms.Take(now, list[i].Server)
-	case len(list) > 0:
-		f.permitAt = d.nextPermit(now, list)
+	case len(open) > 0:
+		f.permitAt = d.nextPermit(now, open)
 		d.Stats.Count("limit_held", f.route.Name)
 	}
 	return i
--- a/internal/reqst/tenant.go
+++ b/internal/reqst/tenant.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
+	"sassafrasring.dev/sassafrasring/internal/proc/quota"
 	"sassafrasring.dev/sassafrasring/internal/vers"
 	"sassafrasring.dev/sassafrasring/pkg/tier"
 )
@@ -21,7 +21,7 @@
 	// Take takes one request from a tenant's quota; it may wait up to limit for other nodes.
 	Take(ctx context.Context, n *vers.Tenant, limit time.Duration) QuotaResult
 	// Return gives back the request of an earlier Take that did not run.
-	Return(n *vers.Tenant)
+	Return(n *vers.Tenant, token quota.Token)
 }
 
 // QuotaResult is the result of Quota.Take. Unless Granted is set, Known tells whether the quota is exhausted or could not be
@@ -30,6 +30,8 @@
 	Granted    bool
 	Known      bool
 	RetryAfter time.Duration
+	// Token is what was taken.
+	Token quota.Token
 }
 
 const (
@@ -62,13 +64,17 @@
 		return nil, d.unknownKey()
 	}
 	in.Tenant = n.Name
-	if d.Proof != nil && !in.Relayed && !d.Proof.Valid() {
+	if d.Proof != nil && !in.Relayed && !d.proven(t) {
 		out := refusal(tier.ReasonUnproven, shortRetryAfter)
 		return nil, &out
 	}
 	return n, nil
 }
 
+// proven reports whether there is a valid proof for a routing table. A proof that is valid may count for a table that has
+// replaced it since the request looked it up, and in which the key is gone.
+func (d *Forwarder) proven(t *vers.Routes) bool { return d.Proof.Valid() && d.Routes() == t }
+
 // unknownKey is the answer to a request without a valid key. A node whose table may be outdated cannot say that a key is
 // unknown.
 func (d *Forwarder) unknownKey() *Outbound {
@@ -88,6 +94,7 @@
 	res := d.Quota.Take(ctx, n, max(r.Objective()/quotaTargetDivisor, minQuotaTime))
 	switch {
 	case res.Granted:
+		in.quota = res.Token
 		return nil
 	case res.Known:
 		return &Outbound{Status: http.StatusTooManyRequests, Reason: tier.ReasonQuota, RetryAfter: res.RetryAfter}
@@ -96,20 +103,13 @@
 	return &out
 }
 
-// returnQuota gives back what a request took from its tenant's quota if it has not run.
-func (d *Forwarder) returnQuota(in *Inbound, n *vers.Tenant, out *Outbound) {
-	if d.limited(in, n) && saysNotRun(out.Status) {
-		d.Quota.Return(n)
+// returnQuota gives back what a request took from its tenant's quota if it was sent to no server, by this node or another.
+func (d *Forwarder) returnQuota(f *forwarding, in *Inbound, out *Outbound) {
+	if d.limited(in, f.tenant) && saysNotRun(out.Status) && !f.passedOn && (f.plan == nil || !f.plan.Sent()) {
+		d.Quota.Return(f.tenant, in.quota)
 	}
 }
 
 func (d *Forwarder) limited(in *Inbound, n *vers.Tenant) bool {
 	return d.Quota != nil && n != nil && n.Rate > 0 && !in.Relayed
 }
-
-// refused counts a request that is refused before any server is chosen.
-func (d *Forwarder) refused(r *vers.Route, out *Outbound) Outbound {
-	d.Stats.Count("requests", r.Name+"/"+strconv.Itoa(out.Status))
-	d.Stats.Count("requests_failed", r.Name+"/"+string(out.Reason))
-	return *out
-}
--- a/internal/setup/edge.go
+++ b/internal/setup/edge.go
@@ -27,8 +27,11 @@
 	GraceMs            tier.Millis   `json:"grace_ms" doc:"Time from SIGTERM to the end of the process." unit:"ms" allow:"1000 to 600000" default:"6000"`
 	TTLMs              tier.Millis   `json:"ttl_ms" doc:"How long callers may cache the list of nodes to use." unit:"ms" allow:"100 to 60000" default:"5000"`
 	Repeats            Repeats       `json:"repeats" doc:"Budget for sub-requests beyond the first of each request, per service over the whole fleet."`
+	Quota              Quota         `json:"quota" doc:"How exactly tenants' limits are kept over the whole fleet: in any window, a tenant's rate and burst, with these margins. The same on all nodes."`
+	Cold               Cold          `json:"cold" doc:"Bound of the requests to a cold server in any second, for services whose routing table entry has a rate for cold servers."`
 	Limits             EdgeLimits    `json:"limits" doc:"Limits on callers where the routing table sets none, and limits of the process."`
 	Answers            Answers       `json:"answers" doc:"Limits on servers' answers; one that exceeds them ends its connection."`
+	Revocation         Revocation    `json:"revocation" doc:"How soon the removal of a tenant's key holds."`
 	TLS                TLS           `json:"tls" doc:"Certificate for connections between nodes; empty means a certificate generated at start and no verification, for networks that only the nodes can reach."`
 	Log                Log           `json:"log" doc:"Logs, on standard output."`
 }
@@ -40,6 +43,25 @@
 	WindowMs tier.Millis `json:"window_ms" doc:"Sliding window over which both apply." unit:"ms" allow:"1000 to 600000" default:"10000"`
 }
 
+// Revocation says how soon the removal of a tenant's key holds on nodes that cannot have heard of it.
+type Revocation struct {
+	Strict  bool        `json:"strict" doc:"Whether nodes refuse requests with keys while they do not know that their routing table is the newest. It must be the same on all nodes, like limit_ms." default:"false"`
+	LimitMs tier.Millis `json:"limit_ms" doc:"Time after the acknowledgement of a routing table in which a key that it no longer lists is refused everywhere." unit:"ms" allow:"500 to 3600000" default:"5000"`
+}
+
+// Quota is the precision of tenants' limits.
+type Quota struct {
+	WindowMs tier.Millis `json:"window_ms" doc:"Sliding window over which tenants' limits are kept." unit:"ms" allow:"1000 to 600000" default:"5000"`
+	Percent  int         `json:"percent" doc:"By how much a tenant's requests in a window may exceed its limit." unit:"%" allow:"4 to 100" default:"10"`
+	Slack    int         `json:"slack" doc:"Number of requests in a window allowed in addition; each voter of the control group needs at least one of them for tenants with a low limit." allow:"9 to 1000000" default:"20"`
+}
+
+// Cold bounds the requests to a cold server in any second.
+type Cold struct {
+	Percent int `json:"percent" doc:"Bound as a share of the rate that the routing table sets for cold servers." unit:"%" allow:"100 to 1000" default:"150"`
+	Fixed   int `json:"fixed" doc:"Number of requests allowed in addition to the share." allow:"1 to 1000000" default:"5"`
+}
+
 // EdgeLimits holds the limits on callers' requests and connections and the memory limit of the process.
 type EdgeLimits struct {
 	BodyBytes   int64       `json:"body_bytes" doc:"Largest request body." unit:"bytes" allow:"1024 to 16777216" default:"8388608"`
@@ -48,6 +70,7 @@
 	BodyMs      tier.Millis `json:"body_ms" doc:"Time limit for receiving a request's body after its header." unit:"ms" allow:"100 to 600000" default:"30000"`
 	IdleMs      tier.Millis `json:"idle_ms" doc:"How long an idle connection of a caller is kept open." unit:"ms" allow:"1000 to 600000" default:"75000"`
 	MemoryMB    int         `json:"memory_mb" doc:"Memory limit of the process, near which garbage is collected more often; 0 means no limit." unit:"MB" allow:"0 to 1048576" default:"0"`
+	CallerMB    int         `json:"caller_mb" doc:"Largest sum of what callers, servers and operators hold over all HTTP addresses: 20 KiB a connection, heads as parsed, bodies, unread answers; beyond it those that hold most are refused as not run or closed. 0 means a quarter of the memory limit." unit:"MB" allow:"0 to 1048576" default:"0"`
 }
 
 // EdgeDefaults returns settings with the default of every key that has one.
@@ -55,9 +78,11 @@
 	return Edge{
 		LinkPort: 7740, GossipPort: 7741, Tolerance: 1, AnnounceIntervalMs: 1000, GraceMs: 6000, TTLMs: 5000,
 		Repeats: Repeats{Percent: 10, Fixed: 50, WindowMs: 10000},
+		Quota:   Quota{WindowMs: 5000, Percent: 10, Slack: 20},
+		Cold:    Cold{Percent: 150, Fixed: 5},
 		Limits:  EdgeLimits{BodyBytes: 8 << 20, HeaderBytes: 64 << 10, ReadMs: 10000, BodyMs: 30000, IdleMs: 75000},
-		Answers: AnswerDefaults(),
-		Log:     Log{Level: "info", Format: "json"},
+		Answers: AnswerDefaults(), Revocation: Revocation{LimitMs: 5000},
+		Log: Log{Level: "info", Format: "json"},
 	}
 }
 
@@ -117,13 +142,20 @@
 	c.number("repeats.percent", int64(s.Repeats.Percent), 0, 100)
 	c.number("repeats.fixed", int64(s.Repeats.Fixed), 0, 1000000)
 	c.number("repeats.window_ms", int64(s.Repeats.WindowMs), 1000, 600000)
+	c.number("quota.window_ms", int64(s.Quota.WindowMs), 1000, 600000)
+	c.number("quota.percent", int64(s.Quota.Percent), 4, 100)
+	c.number("quota.slack", int64(s.Quota.Slack), 9, 1000000)
+	c.number("cold.percent", int64(s.Cold.Percent), 100, 1000)
+	c.number("cold.fixed", int64(s.Cold.Fixed), 1, 1000000)
 	c.number("limits.body_bytes", s.Limits.BodyBytes, 1024, 16<<20)
 	c.number("limits.header_bytes", int64(s.Limits.HeaderBytes), 1024, 1<<20)
 	c.number("limits.read_ms", int64(s.Limits.ReadMs), 100, 60000)
 	c.number("limits.body_ms", int64(s.Limits.BodyMs), 100, 600000)
 	c.number("limits.idle_ms", int64(s.Limits.IdleMs), 1000, 600000)
 	c.number("limits.memory_mb", int64(s.Limits.MemoryMB), 0, 1<<20)
+	c.number("limits.caller_mb", int64(s.Limits.CallerMB), 0, 1<<20)
 	c.answers(s.Answers)
+	c.number("revocation.limit_ms", int64(s.Revocation.LimitMs), 500, 3600000)
 	c.files("tls", s.TLS, s.TLS != (TLS{}))
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
--- a/internal/vers/tenant.go
+++ b/internal/vers/tenant.go
@@ -30,14 +30,24 @@
 	return r.Priority
 }
 
+const (
+	// Quotas are computed with floating-point numbers and times. A rate beyond maxRate is more than any fleet serves, and the wait
+	// for the next request at minRate (11 days) fits a time.Duration.
+	minRate = 1e-6
+	maxRate = 1e9
+)
+
 // tenantIndex finds tenants by key and by name.
 type tenantIndex struct {
 	byKey  map[string]*Tenant
 	byName map[tier.Tenant]*Tenant
+	// limited is set if a tenant has a rate.
+	limited bool
 }
 
 // build validates the tenants and indexes them. Errors name tenants by name and never contain a key.
 func (x *tenantIndex) build(list []Tenant) error {
+	x.limited = false
 	x.byKey, x.byName = make(map[string]*Tenant, len(list)), make(map[tier.Tenant]*Tenant, len(list))
 	for i := range list {
 		n := &list[i]
@@ -59,7 +69,12 @@
 	case n.Priority < 0:
 		return errors.New("the priority is negative")
 	}
+	n.Burst = min(n.Burst, maxRate)
+	if n.Rate > 0 {
+		n.Rate = min(max(n.Rate, minRate), maxRate)
+	}
 	x.byName[n.Name] = n
+	x.limited = x.limited || n.Rate > 0
 	for _, key := range n.Keys {
 		switch other := x.byKey[key]; {
 		case key == "":
@@ -78,6 +93,9 @@
 // caller in.
 func (t *Routes) Keyed() bool { return t.Tenants != nil }
 
+// Limited reports whether a tenant has a rate.
+func (t *Routes) Limited() bool { return t.tenants.limited }
+
 // TenantByKey returns the tenant that holds a key, or nil if there is none.
 func (t *Routes) TenantByKey(key string) *Tenant { return t.tenants.byKey[key] }
 
