--- a/internal/cmdln/routes.go
+++ b/internal/cmdln/routes.go
@@ -217,6 +217,18 @@
 	} else {
 		_, _ = fmt.Fprintf(o.out, "control group: no leader reached: %s\n", s.Problem)
 	}
+	if s.Proof != nil {
+		_, _ = fmt.Fprintf(o.out, "currency proof: held %v for %d ms, table %d, strict %v\n", s.Proof.Held, s.Proof.LeftMs, s.Proof.Version, s.Proof.Strict)
+	}
+	if s.Quota != nil {
+		_, _ = fmt.Fprintf(o.out, "quotas: grants a share %v, tokens held %d\n", s.Quota.Granting, s.Quota.Tokens)
+	}
+	for service, share := range s.Admitted {
+		_, _ = fmt.Fprintf(o.out, "searches of %s: %.0f%% of the most urgent admitted\n", service, share*percent)
+	}
+	if len(s.Evacuations.Zones) > 0 {
+		_, _ = fmt.Fprintf(o.out, "evacuated zones: %v\n", s.Evacuations.Zones)
+	}
 	t := o.table("\nHOST", "STATE", "ZONE", "READY", "USED", "REPLICA")
 	for _, h := range s.Hosts {
 		t.row(h.ID, [...]string{"up", "leaving", "down"}[h.State], h.Zone, h.Ready, h.Active, h.Replica)
--- a/internal/edge/ops.go
+++ b/internal/edge/ops.go
@@ -35,6 +35,11 @@
 	Problem string       `json:"problem,omitempty"`
 	// Evacuations is the set of evacuated zones in force at this node.
 	Evacuations evac.Set `json:"evacuations"`
+	// Proof and Quota are nil where nothing needs them. Admitted holds the share of the most urgent searches that is admitted, by
+	// the first of their services, if it is below 1.
+	Proof    *ProofStatus             `json:"proof,omitempty"`
+	Quota    *QuotaStatus             `json:"quota,omitempty"`
+	Admitted map[tier.Service]float64 `json:"admitted,omitempty"`
 }
 
 // RoutesRevision is one routing table of the history.
@@ -60,6 +65,7 @@
 	s := Status{
 		Node: n.Settings.ID, Name: n.Settings.Name, Boot: n.boot, Ready: n.Ready(), Stopping: n.Stopping(), Open: n.forwarder.Open(),
 		Routes: n.routesVersion(), Hosts: n.gossip.list(), Evacuations: n.evacuations.get(),
+		Proof: n.proofStatus(), Quota: n.quotaStatus(), Admitted: n.forwarder.Admitted(),
 	}
 	n.gossip.withState(func(_ time.Duration, st *spread.State) { s.Servers = st.Servers() })
 	ctx, cancel := context.WithTimeout(c.Request().Context(), opsTimeout)
@@ -139,6 +145,9 @@
 	if n.LinesDropped != nil {
 		set("log_lines_unwritten", "", float64(n.LinesDropped()))
 	}
+	for service, share := range n.forwarder.Admitted() {
+		set("searches_admitted", string(service), share)
+	}
 	for service, left := range n.forwarder.RemainingBudgets() {
 		set("budget_left", string(service), left)
 	}
--- a/internal/proc/shed/gate.go
+++ b/internal/proc/shed/gate.go
@@ -191,6 +191,16 @@
 	return g.level(spare).share
 }
 
+// LeastShare returns the least of the shares.
+func (g *Gate) LeastShare(now time.Duration) float64 {
+	g.step(now)
+	least := 1.0
+	for _, l := range g.levels {
+		least = min(least, l.share)
+	}
+	return least
+}
+
 // RetryAfter returns when a refused caller may be served: once the level has recovered, if the load falls now.
 func (g *Gate) RetryAfter(now time.Duration, spare int) time.Duration {
 	return minRetryAfter + time.Duration((1-g.Share(now, spare))/recovery)*stepInterval
--- a/internal/reqst/gate.go
+++ b/internal/reqst/gate.go
@@ -29,6 +29,20 @@
 	return g
 }
 
+// Admitted returns the least share of the most urgent searches that is admitted, by the first of their services, where it is below 1.
+func (d *Forwarder) Admitted() map[tier.Service]float64 {
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[tier.Service]float64{}
+	for s, g := range d.gates {
+		if share := g.LeastShare(now); share < 1 {
+			out[s] = share
+		}
+	}
+	return out
+}
+
 // askGate returns the refusal of a search for which the servers have no room, or nil.
 func (f *forwarding) askGate(now time.Duration) *Outbound {
 	d := f.forwarder
