quota: a voter whose log may lag waits for a second of contact

Cause: a voter that was removed and added again, with or without a restart, granted by its former membership until its log had caught up (found by TestBoundHoldsInEveryWindow: 91 requests where 70 are allowed). Change: contact counts 1 s after a start, unless the process bootstrapped the group, and after a loss of contact.

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -267,6 +267,7 @@
 	now := q.now()
 	if first && m.Bootstrapped {
 		q.grantor.Start(now, true)
+		q.standing.Bootstrapped()
 	}
 	if first {
 		q.settled = m.Voter && had
--- a/internal/proc/quota/grantor_test.go
+++ b/internal/proc/quota/grantor_test.go
@@ -110,6 +110,9 @@
 	fresh := func(settled bool) *Standing {
 		x := &Standing{}
 		x.Resume(0)
+		if settled {
+			x.Bootstrapped()
+		}
 		x.Members(0, true, 3, settled)
 		return x
 	}
@@ -136,6 +139,17 @@
 	x.Members(resumed, false, 2, false)
 	require.Zero(t, x.Granting(resumed+resumeDelay), "not a voter any more")
 
+	back := 40 * s
+	for now := resumed + resumeDelay; now < back; now += s / 2 {
+		x.Observe(now, false)
+	}
+	x.Members(back, true, 3, false)
+	x.Settle(back)
+	x.Observe(back, true)
+	require.Zero(t, x.Granting(back), "contact was lost: the log may lack a removal")
+	observe(x, back, back+resumeDelay)
+	require.Equal(t, 3, x.Granting(back+resumeDelay))
+
 	x = fresh(false)
 	observe(x, 0, Handover)
 	require.Zero(t, x.Granting(Handover-1), "a new voter waits")
--- a/internal/proc/quota/sim_test.go
+++ b/internal/proc/quota/sim_test.go
@@ -158,6 +158,9 @@
 	v.grantor.Start(w.now, fresh)
 	v.standing = &Standing{}
 	v.standing.Resume(w.now)
+	if fresh {
+		v.standing.Bootstrapped()
+	}
 	m := *v.members
 	v.settled = m[v.id] && (fresh || v.share == v.members)
 	v.standing.Members(w.now, m[v.id], len(m), v.settled)
--- a/internal/proc/quota/standing.go
+++ b/internal/proc/quota/standing.go
@@ -13,7 +13,9 @@
 	Handover = 5 * time.Second
 	// maxObserveGap is the longest time between two observations of a host that runs undisturbed.
 	maxObserveGap = time.Second
-	// resumeDelay is how long contact does not count after a suspension: messages of a former leader may have waited.
+	// resumeDelay is how long contact does not count after a suspension, because messages of a former leader may have waited,
+	// and after a start or a loss of contact: the host may have been removed and added again, and its log tells so only when it has
+	// caught up.
 	resumeDelay = time.Second
 )
 
@@ -29,6 +31,10 @@
 	// not count.
 	observed, contact, notBefore time.Duration
 	contacted                    bool
+	// returning is set while contact is back after it was lost, and does not count yet.
+	returning bool
+	// fresh is set if the group was bootstrapped by this process.
+	fresh bool
 	// recalls is when this host knows all memberships of the last Handover; those from before its start are lost.
 	recalls time.Duration
 }
@@ -59,6 +65,9 @@
 	s.known, s.voter, s.voters = true, voter, voters
 }
 
+// Bootstrapped records that the group was bootstrapped by this process: its log lacks nothing at the first contact.
+func (s *Standing) Bootstrapped() { s.fresh = true }
+
 // Settle ends the wait of a new voter: all other voters are Counting with a membership that contains this host.
 func (s *Standing) Settle(now time.Duration) {
 	if s.Counting(now) {
@@ -75,6 +84,11 @@
 		s.notBefore = now + resumeDelay
 	}
 	s.observed = now
+	lost := s.contacted && now-s.contact > ContactWindow || !s.contacted && !s.fresh
+	if contact && lost && !s.returning {
+		s.notBefore = max(s.notBefore, now+resumeDelay)
+	}
+	s.returning = contact && lost
 	if contact && now >= s.notBefore {
 		s.contact, s.contacted = now, true
 	}
