--- a/internal/reqst/door.go
+++ b/internal/reqst/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -185,11 +186,12 @@
 	d.cutSignal = make(chan struct{})
 }
 
-// ForgetGone drops the observations of servers that are in the directory no more.
+// ForgetGone drops the observations of servers that are in the directory no more, and the gates of services without servers.
 func (d *Forwarder) ForgetGone() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.Board.Forget(d.known)
+	maps.DeleteFunc(d.gates, func(s tier.Service, _ *shed.Gate) bool { return len(d.Directory.Candidates(s)) == 0 })
 	d.terms.Forget(d.known)
 	d.reach.Forget(d.known)
 }
