--- a/internal/conn/caller_test.go
+++ b/internal/conn/caller_test.go
@@ -283,7 +283,7 @@
 		b.Run(c.name, func(b *testing.B) {
 			k := dialCaller(b, callerServer(b, c.budget, nil), "")
 			r := bufio.NewReader(k)
-			request := []byte("GET /one/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1234567890\r\nDeadline-Remaining: 300\r\nAccept: */*\r\nUser-Agent: test\r\n\r\n")
+			request := []byte("GET /one/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 1234567890\r\nX-Deadline-Ms: 300\r\nAccept: */*\r\nUser-Agent: test\r\n\r\n")
 			b.ReportAllocs()
 			for b.Loop() {
 				if _, err := k.Write(request); err != nil {
