quota: more depth than a third, refill with the rest of what a window allows

Cause: with the tenant's rate alone as refill, buckets that start empty give small tenants a token in 20 s.

--- a/internal/proc/quota/grantor_test.go
+++ b/internal/proc/quota/grantor_test.go
@@ -73,7 +73,8 @@
 
 // TestWaitsAreInTurn guards against all hosts asking again at the same moment.
 func TestWaitsAreInTurn(t *testing.T) {
-	g := &Grantor{Limits: DefaultLimits()}
+	// With this tolerance the buckets of ten voters refill at a tenth of the tenant's rate each.
+	g := &Grantor{Limits: Limits{Window: 5 * time.Second, Overage: 0.1, Tolerance: 10}}
 	g.Start(0, false)
 	for i := range 5 {
 		r := g.Grant(time.Second, "a", 1, 0, 10, 100)
--- a/internal/proc/quota/limits.go
+++ b/internal/proc/quota/limits.go
@@ -46,6 +46,9 @@
 	// lifeShare is the part of the overage that the validity of tokens uses. The other half covers the time from the
 	// decision until the request arrives at a server.
 	lifeShare = 0.5
+	// depthShare is the part of what a window allows that may be asked for at once. The rest refills buckets that are empty after
+	// a restart: a voter's part of a small tenant's rate alone would be a token in 20 s.
+	depthShare = 0.55
 )
 
 // Life returns how long a host may use a token.
@@ -55,20 +58,20 @@
 }
 
 // Share returns the refill rate and the depth of the bucket of one of n voters. The buckets of all voters, with the tokens
-// that become available while others are still valid, stay within the limits: depths beyond the burst use the tolerance,
-// in whole tokens, because a bucket with less than one token is of no use. If depth is below 1, no token is ever granted.
+// that become available while others are still valid, grant what the limits allow in a window and no more: depthShare of it
+// at once, but at least the burst and at most the burst and the tolerance, and the rest at a constant rate. Depths are whole
+// tokens, because a bucket with less than one token is of no use. If depth is below 1, no token is ever granted.
 func (l Limits) Share(rate, burst float64, n int) (perSecond, depth float64) {
 	voters := float64(max(n, 1))
-	late := rate * (l.Window.Seconds()*l.Overage - 2*l.Life().Seconds())
-	extra := (l.Tolerance + min(late, 0)) / voters
-	depth = burst / voters
-	if extra > 0 {
-		depth += math.Floor(extra)
+	life := l.Life().Seconds()
+	// The tokens of one more life are left for the time from the decision until the request arrives at a server.
+	allowed := rate*(l.Window.Seconds()*(1+l.Overage)-life) + burst + l.Tolerance
+	span := l.Window.Seconds() + life
+	if allowed < voters {
+		return rate / voters, 0
 	}
-	if extra < 0 || depth < 1 {
-		depth = max(0, burst/voters+extra)
-	}
-	return rate / voters, depth
+	depth = max(1, math.Floor(max(burst, min(burst+l.Tolerance, depthShare*allowed))/voters))
+	return max(0, (allowed-depth*voters)/span) / voters, depth
 }
 
 // Token is the permission to send one request to servers.
