--- a/internal/proc/shed/gate.go
+++ b/internal/proc/shed/gate.go
@@ -59,7 +59,8 @@
 	sorted  []float64
 	// levels hold the share of the most urgent requests that is admitted, by the number of shards that an answer may lack.
 	levels map[int]*level
-	ranks  [maxRank]presence
+	// ranks tells which ranks are present: less urgent ones yield to them.
+	ranks [maxRank]presence
 	// tenants divides what is admitted between tenants.
 	tenants fair
 }
