--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -169,7 +169,7 @@
 	for k := 1; k <= min(n, 3); k++ {
 		seeds = append(seeds, fmt.Sprintf("%q", f.addr(k, portControl)))
 	}
-	data := filepath.Join(f.dir, fmt.Sprintf("data-%d", i))
+	data := f.dataFolder(i)
 	if err := os.MkdirAll(data, 0o755); err != nil {
 		return err
 	}
@@ -215,6 +215,8 @@
 	return os.WriteFile(f.nodes[i-1].settings, []byte(text), 0o644)
 }
 
+func (f *fleet) dataFolder(i int) string { return filepath.Join(f.dir, fmt.Sprintf("data-%d", i)) }
+
 // startNode starts the process of a host with the command of the deploy file.
 func (f *fleet) startNode(i int) error {
 	p := f.nodes[i]
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,7 @@
 		os.Exit(runServer(os.Args[2:]))
 	}
 	cases := map[string]func(f *fleet, trouble bool) (int, error){
-		"drain": drain, "crash": crashEarly, "lapse": crashLapse, "keys": keys, "writer": writer,
+		"drain": drain, "crash": crashEarly, "lapse": crashLapse, "keys": keys, "writer": writer, "callers": callers, "popular": popular,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
@@ -170,6 +170,41 @@
 
 const contactWindow = 4000 // contact_window_ms
 
+// callers sends a request of one tenant that crashes each server that begins to run it, while another tenant sends sound requests
+// with the same path and body.
+func callers(f *fleet, trouble bool) (int, error) {
+	const service, prefix = "reservas", "/confirm/"
+	const sick, sound = "k-3f9c1d22", "k-77d2a0b1"
+	f.contracts, f.bounds = keyedContracts, keyedBounds
+	doc := config(7, service, route("r-confirm", prefix, service, 2500, 250))
+	doc["tenants"] = []object{{"name": "lisboa", "api_keys": []string{sick}}, {"name": "porto", "api_keys": []string{sound}}}
+	var args []string
+	if trouble {
+		args = []string{"-crash", "/club-17", "-crash-tenant", "lisboa"}
+	}
+	deadline := 2500 * time.Millisecond
+	if err := prepareKeyed(f, servers, service, doc, prefix+"1", deadline, []string{"Credential", sound}, args...); err != nil {
+		return unable, err
+	}
+	time.Sleep(5 * time.Second)
+	var stop atomic.Bool
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for i := 0; !stop.Load(); i++ {
+			wait.Go(func() {
+				f.ask(1+i%3, "POST", "leno12.example", prefix+"club-17", attemptID(), deadline, nil, "Credential", sound)
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	if err := f.comeAgain(service, 40*time.Second, 1, nil, args, "Credential", sick); err != nil {
+		return unable, err
+	}
+	stop.Store(true)
+	wait.Wait()
+	return f.countRetries(prefix+"club-17", "lisboa", 5000), nil
+}
+
 // crashEarly sends a request again and again that crashes each server that begins to run it, before the server has read the
 // whole body.
 func crashEarly(f *fleet, trouble bool) (int, error) {
@@ -181,21 +216,29 @@
 	return crash(f, trouble, nil, 72*time.Second, 3)
 }
 
+const servers = 5
+
 func crash(f *fleet, trouble bool, body []byte, long time.Duration, machines int) (int, error) {
 	const service, prefix = "reservas", "/confirm/"
-	const servers = 5
 	var args []string
 	if trouble {
 		args = []string{"-crash", "/club-17"}
 	}
-	deadline := 2500 * time.Millisecond
 	doc := config(7, service, route("r-confirm", prefix, service, 2500, 250))
-	if err := prepare(f, servers, service, doc, prefix+"1", deadline, args...); err != nil {
+	if err := prepare(f, servers, service, doc, prefix+"1", 2500*time.Millisecond, args...); err != nil {
 		return unable, err
 	}
 	time.Sleep(5 * time.Second)
+	if err := f.comeAgain(service, long, machines, body, args); err != nil {
+		return unable, err
+	}
+	return f.countRetries(prefix+"club-17", "", contactWindow), nil
+}
+
+// comeAgain sends the request for club 17 each second to a number of hosts, and starts crashed servers again after 3 s, as new boots
+// with new ids at their addresses.
+func (f *fleet) comeAgain(service string, long time.Duration, machines int, body []byte, args []string, header ...string) error {
 	hosts := map[string]int{}
-	i := 0
 	for h := 20; h < 20+servers; h++ {
 		for id, p := range f.servers {
 			if p.address == f.addr(h, portServer) {
@@ -204,36 +247,45 @@
 		}
 	}
 	end := time.Now().Add(long)
-	back := map[string]time.Time{} // when a crashed server starts again, as a new boot with a new id
+	back := map[string]time.Time{}
+	i := 0
 	for n := 0; time.Now().Before(end); n++ {
-		for id := range hosts {
+		for id, h := range hosts {
 			p := f.servers[id]
 			select {
 			case <-p.done:
-				if back[id].IsZero() {
-					back[id] = time.Now().Add(3 * time.Second)
-				} else if time.Now().After(back[id]) {
-					h := hosts[id]
-					delete(hosts, id)
-					next := fmt.Sprintf("i-%08x", rand.Uint32())
-					hosts[next] = h
-					if err := f.startServer(next, service, h, args...); err != nil {
-						return unable, err
-					}
-				}
 			default:
+				continue
+			}
+			if back[id].IsZero() {
+				back[id] = time.Now().Add(3 * time.Second)
+			}
+			if time.Now().Before(back[id]) {
+				continue
+			}
+			delete(hosts, id)
+			next := fmt.Sprintf("i-%08x", rand.Uint32())
+			hosts[next] = h
+			if err := f.startServer(next, service, h, args...); err != nil {
+				return err
 			}
 		}
 		if n%10 == 0 {
 			for range machines {
 				node := 1 + i%3
 				i++
-				go f.ask(node, "POST", "leno12.example", prefix+"club-17", attemptID(), deadline, body)
+				go f.ask(node, "POST", "leno12.example", "/confirm/club-17", attemptID(), 2500*time.Millisecond, body, header...)
 			}
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(2500 * time.Millisecond)
+	return nil
+}
+
+// countRetries checks how often a request of a tenant that crashes servers reached them later than window ms after the third
+// crash.
+func (f *fleet) countRetries(path, tenant string, window float64) int {
 	crashes, third, retries := 0, 0.0, 0
 	for _, e := range f.all() {
 		switch e.What {
@@ -242,7 +294,7 @@
 				third = e.AtMs
 			}
 		case "arrives":
-			if third > 0 && e.AtMs > third+contactWindow && e.Path == prefix+"club-17" {
+			if third > 0 && e.AtMs > third+window && e.Path == path && e.Tenant == tenant {
 				retries++
 				f.note("arrival %d, %.1f s after the third crash", retries, (e.AtMs-third)/1000)
 			}
@@ -250,9 +302,9 @@
 	}
 	f.note("%d crashes, %d arrivals later than contact_window_ms after the third", crashes, retries)
 	if retries > 3 {
-		return broken, nil
+		return broken
 	}
-	return held, nil
+	return held
 }
 
 const configApply = 4000 // config_apply_ms
@@ -301,38 +353,74 @@
 
 const recovery = 12000 // recovery_s, in milliseconds
 
+// load sends requests at a steady rate, as requesters that retry once on a new connection.
+type load struct {
+	stop     atomic.Bool
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	requests []request
+}
+
+type request struct {
+	at     float64
+	served bool
+}
+
+func (l *load) start(f *fleet, pause, deadline time.Duration, path func(i int) string) {
+	l.wait.Go(func() {
+		for i := 0; !l.stop.Load(); i++ {
+			l.wait.Go(func() {
+				at, end, served := nowMs(), time.Now().Add(deadline), false
+				for k := 0; k < 2 && !served; k++ {
+					a := f.ask(1+(i+k)%3, "GET", "leno12.example", path(i), attemptID(), time.Until(end), nil)
+					served = a.err == nil && a.status == 200 && a.signed
+				}
+				l.mu.Lock()
+				l.requests = append(l.requests, request{at, served})
+				l.mu.Unlock()
+			})
+			time.Sleep(pause)
+		}
+	})
+}
+
+// end stops the load and returns the numbers of requests and of those served before fault, and later than recovery_s after back.
+func (l *load) end(f *fleet, fault, back float64) (code int) {
+	l.stop.Store(true)
+	l.wait.Wait()
+	var before, servedBefore, after, servedAfter float64
+	for _, q := range l.requests {
+		switch {
+		case q.at < fault:
+			before++
+			if q.served {
+				servedBefore++
+			}
+		case q.at > back+recovery:
+			after++
+			if q.served {
+				servedAfter++
+			}
+		}
+	}
+	f.note("served: %.0f of %.0f requests before the final fault, %.0f of %.0f sent later than recovery_s after the hosts are back", servedBefore, before, servedAfter, after)
+	if servedBefore >= before/4 && servedAfter < after/4 {
+		return broken
+	}
+	return held
+}
+
 // writer lets another writer send one heartbeat for each server that lacks a field. A second later all hosts' processes are
 // killed, right after a desired state was acknowledged, and are back within a second.
 func writer(f *fleet, trouble bool) (int, error) {
 	const service, prefix = "reservas", "/confirm/"
 	deadline := 2500 * time.Millisecond
 	r := route("r-confirm", prefix, service, 2500, 250)
-	if err := prepare(f, 5, service, config(7, service, r), prefix+"1", deadline, "-work-ms", "20"); err != nil {
+	if err := prepare(f, servers, service, config(7, service, r), prefix+"1", deadline, "-work-ms", "20"); err != nil {
 		return unable, err
 	}
-	var stop atomic.Bool
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	type request struct {
-		at     float64
-		served bool
-	}
-	var requests []request
-	wait.Go(func() {
-		for i := 0; !stop.Load(); i++ {
-			wait.Go(func() {
-				at, end, served := nowMs(), time.Now().Add(deadline), false
-				for k := 0; k < 2 && !served; k++ { // one retry on a new connection
-					a := f.ask(1+(i+k)%3, "GET", "leno12.example", prefix+fmt.Sprint(i), attemptID(), time.Until(end), nil)
-					served = a.err == nil && a.status == 200 && a.signed
-				}
-				mu.Lock()
-				requests = append(requests, request{at, served})
-				mu.Unlock()
-			})
-			time.Sleep(100 * time.Millisecond)
-		}
-	})
+	var l load
+	l.start(f, 100*time.Millisecond, deadline, func(i int) string { return prefix + fmt.Sprint(i) })
 	time.Sleep(8 * time.Second)
 	if trouble {
 		n := 0
@@ -347,43 +435,72 @@
 	if err := f.putConfig(config(9, service, r)); err != nil {
 		return unable, err
 	}
-	f.note("all hosts' processes are killed")
-	fault := nowMs()
-	for i, p := range f.nodes {
+	fault, back, err := f.finalFault(len(f.nodes), false)
+	if err != nil {
+		return unable, err
+	}
+	time.Sleep(recovery*time.Millisecond + 25*time.Second)
+	return l.end(f, fault, back), nil
+}
+
+// finalFault kills the processes of the first n hosts, which may lose their disks, and starts them again.
+func (f *fleet) finalFault(n int, wipe bool) (fault, back float64, err error) {
+	f.note("final fault: the processes of %d hosts are killed, disks lost: %v", n, wipe)
+	fault = nowMs()
+	for i, p := range f.nodes[:n] {
 		_ = p.cmd.Process.Kill()
 		<-p.done
-		if err := f.writeSettings(i+1, len(f.nodes), false); err != nil {
-			return unable, err
+		if wipe {
+			err = os.RemoveAll(f.dataFolder(i + 1))
+		}
+		if err == nil {
+			err = f.writeSettings(i+1, len(f.nodes), false)
+		}
+		if err != nil {
+			return fault, 0, err
 		}
 	}
 	time.Sleep(500 * time.Millisecond)
-	for i := range f.nodes {
+	for i := range f.nodes[:n] {
 		if err := f.startNode(i); err != nil {
-			return unable, err
+			return fault, 0, err
 		}
 	}
-	back := nowMs()
-	time.Sleep(recovery*time.Millisecond + 25*time.Second)
-	stop.Store(true)
-	wait.Wait()
-	var before, servedBefore, after, servedAfter float64
-	for _, q := range requests {
-		switch {
-		case q.at < fault:
-			before++
-			if q.served {
-				servedBefore++
-			}
-		case q.at > back+recovery:
-			after++
-			if q.served {
-				servedAfter++
-			}
+	return fault, nowMs(), nil
+}
+
+// popular lets all servers of a service crash at the same moment while each runs the same popular request. They are back 4.5 s
+// later. A second after the crash one host loses its disk, right after a desired state was acknowledged.
+func popular(f *fleet, trouble bool) (int, error) {
+	const service, prefix = "torneio", "/draws/"
+	deadline := 2500 * time.Millisecond
+	r := route("r-draws", prefix, service, 2500, 250)
+	args := []string{"-work-ms", "200"}
+	if err := prepare(f, 3, service, config(7, service, r), prefix+"1", deadline, args...); err != nil {
+		return unable, err
+	}
+	var l load
+	l.start(f, 40*time.Millisecond, deadline, func(int) string { return prefix + "today" })
+	time.Sleep(8 * time.Second)
+	if trouble {
+		f.note("all servers crash")
+		for _, p := range f.servers {
+			_ = p.cmd.Process.Kill()
 		}
+		time.AfterFunc(4500*time.Millisecond, func() {
+			for h := range 3 {
+				_ = f.startServer(fmt.Sprintf("i-%08x", rand.Uint32()), service, 20+h, args...)
+			}
+		})
 	}
-	f.note("served: %.0f of %.0f requests before the final fault, %.0f of %.0f sent later than recovery_s after the hosts are back", servedBefore, before, servedAfter, after)
-	if servedBefore >= before/4 && servedAfter < after/4 {
-		return broken, nil
+	time.Sleep(time.Second)
+	if err := f.putConfig(config(9, service, r)); err != nil {
+		return unable, err
 	}
-	return held, nil
+	fault, back, err := f.finalFault(1, true)
+	if err != nil {
+		return unable, err
+	}
+	time.Sleep(recovery*time.Millisecond + 25*time.Second)
+	return l.end(f, fault, back), nil
 }
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -27,6 +27,7 @@
 	slots                      int
 	work, cold                 time.Duration
 	crashPath, tailPath        string
+	crashTenant                string
 	tail, linger               time.Duration
 
 	sequence atomic.Int64
@@ -77,6 +78,7 @@
 	f.StringVar(&s.zone, "zone", "", "zone")
 	f.StringVar(&controls, "controls", "", "control addresses, separated by commas")
 	f.StringVar(&s.crashPath, "crash", "", "requests whose path contains this crash the server")
+	f.StringVar(&s.crashTenant, "crash-tenant", "", "only requests of this tenant crash the server")
 	f.StringVar(&s.tailPath, "tail", "", "requests whose path contains this take -tail-ms")
 	f.Float64Var(&s.fail, "fail", 0, "the share of requests that fail after SIGUSR2, until the next one")
 	f.IntVar(&s.slots, "slots", 4, "requests that run at a time")
@@ -212,7 +214,7 @@
 		return
 	}
 	defer func() { <-s.slot }()
-	if s.crashPath != "" && strings.Contains(r.URL.Path, s.crashPath) {
+	if s.crashPath != "" && strings.Contains(r.URL.Path, s.crashPath) && (s.crashTenant == "" || r.Header.Get("Tenant") == s.crashTenant) {
 		s.write(event{What: "crashes", Attempt: id, Path: r.URL.Path})
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 		select {}
