--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -39,6 +39,7 @@
 	nodes       []*proc
 	servers     map[string]*proc
 	began       float64
+	disksLost   map[int]int
 
 	mu     sync.Mutex
 	events []event
@@ -115,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, binary: binary, servers: map[string]*proc{}, contracts: siteContracts, bounds: siteBounds, began: nowMs()}
+	f := &fleet{dir: dir, binary: binary, servers: map[string]*proc{}, disksLost: map[int]int{}, contracts: siteContracts, bounds: siteBounds, began: nowMs()}
 	for range 100 {
 		f.net = fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250))
 		l, err := net.Listen("tcp", f.net+"1:"+fmt.Sprint(portControl))
@@ -215,7 +216,10 @@
 	return os.WriteFile(f.nodes[i-1].settings, []byte(text), 0o644)
 }
 
-func (f *fleet) dataFolder(i int) string { return filepath.Join(f.dir, fmt.Sprintf("data-%d", i)) }
+// dataFolder returns the data folder of a host: another one each time that the host has lost its disk.
+func (f *fleet) dataFolder(i int) string {
+	return filepath.Join(f.dir, fmt.Sprintf("data-%d-%d", i, f.disksLost[i]))
+}
 
 // startNode starts the process of a host with the command of the deploy file.
 func (f *fleet) startNode(i int) error {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -443,7 +443,7 @@
 	return l.end(f, fault, back), nil
 }
 
-// finalFault kills the processes of the first n hosts, which may lose their disks, and starts them again.
+// finalFault kills the processes of the first n hosts and starts them again, with empty data folders if their disks are lost.
 func (f *fleet) finalFault(n int, wipe bool) (fault, back float64, err error) {
 	f.note("final fault: the processes of %d hosts are killed, disks lost: %v", n, wipe)
 	fault = nowMs()
@@ -451,12 +451,9 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 		if wipe {
-			err = os.RemoveAll(f.dataFolder(i + 1))
+			f.disksLost[i+1]++
 		}
-		if err == nil {
-			err = f.writeSettings(i+1, len(f.nodes), false)
-		}
-		if err != nil {
+		if err := f.writeSettings(i+1, len(f.nodes), false); err != nil {
 			return fault, 0, err
 		}
 	}
