review: case 8, a late DELETE ends a server that has started again under its id

Three servers are restarted one after the other under their own ids; the first DELETE of each is held up for 4 s on its way to one host.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -439,3 +439,37 @@
 	f.note("another writer's heartbeat for %s without a zone, %s: answered %d by %s", id, b, resp.StatusCode, f.nodes[node-1].name)
 	return nil
 }
+
+// holdUp listens at an address and passes what it receives on to a node only after a time, also if the sender has ended meanwhile, as
+// a partition that heals does.
+func (f *fleet) holdUp(address, node string, pause time.Duration) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				b := make([]byte, 4<<10)
+				n, _ := c.Read(b)
+				time.Sleep(pause)
+				d, err := net.Dial("tcp", node)
+				if err != nil {
+					return
+				}
+				defer func() { _ = d.Close() }()
+				f.note("what was held up reaches %s: %q", node, strings.SplitN(string(b[:n]), "\r\n", 2)[0])
+				_, _ = d.Write(b[:n])
+				_ = d.SetReadDeadline(time.Now().Add(time.Second))
+				n, _ = d.Read(b)
+				_, _ = c.Write(b[:n])
+			}()
+		}
+	}()
+	return l, nil
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,7 @@
 		os.Exit(runServer(os.Args[2:]))
 	}
 	cases := map[string]func(f *fleet, trouble bool) (int, error){
-		"drain": drain, "crash": crashEarly, "lapse": crashLapse, "keys": keys, "writer": writer, "callers": callers, "popular": popular,
+		"drain": drain, "crash": crashEarly, "lapse": crashLapse, "keys": keys, "writer": writer, "callers": callers, "popular": popular, "restart": restart,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
@@ -501,3 +501,55 @@
 	time.Sleep(recovery*time.Millisecond + 25*time.Second)
 	return l.end(f, fault, back), nil
 }
+
+// restart stops and starts the servers of a service one after the other, under their own ids. The first DELETE of each is held up on
+// its way to one host, and arrives when the server has started again.
+func restart(f *fleet, trouble bool) (int, error) {
+	const service, prefix = "torneio", "/draws/"
+	deadline := 2500 * time.Millisecond
+	r := route("r-draws", prefix, service, 2500, 250)
+	args := []string{"-work-ms", "20", "-linger", "3500ms"}
+	if trouble {
+		address := f.addr(9, portControl)
+		l, err := f.holdUp(address, f.addr(1, portControl), 4*time.Second)
+		if err != nil {
+			return unable, err
+		}
+		defer func() { _ = l.Close() }()
+		args = append(args, "-leave-at", address)
+	}
+	if err := prepare(f, 3, service, config(7, service, r), prefix+"1", deadline, args...); err != nil {
+		return unable, err
+	}
+	var l load
+	l.start(f, 100*time.Millisecond, deadline, func(i int) string { return prefix + fmt.Sprint(i) })
+	hosts := map[string]int{}
+	for id, p := range f.servers {
+		for h := 20; h < 23; h++ {
+			if p.address == f.addr(h, portServer) {
+				hosts[id] = h
+			}
+		}
+	}
+	time.Sleep(2 * time.Second)
+	for id, h := range hosts {
+		p := f.servers[id]
+		f.note("server %s is to stop and start again", id)
+		_ = p.cmd.Process.Signal(syscall.SIGUSR1)
+		<-p.done
+		time.Sleep(300 * time.Millisecond)
+		if err := f.startServer(id, service, h, args...); err != nil {
+			return unable, err
+		}
+		time.Sleep(4 * time.Second)
+	}
+	if err := f.putConfig(config(9, service, r)); err != nil {
+		return unable, err
+	}
+	fault, back, err := f.finalFault(len(f.nodes), false)
+	if err != nil {
+		return unable, err
+	}
+	time.Sleep(recovery*time.Millisecond + 15*time.Second)
+	return l.end(f, fault, back), nil
+}
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -27,7 +27,7 @@
 	slots                      int
 	work, cold                 time.Duration
 	crashPath, tailPath        string
-	crashTenant                string
+	crashTenant, leaveAt       string
 	tail, linger               time.Duration
 
 	sequence atomic.Int64
@@ -78,6 +78,7 @@
 	f.StringVar(&s.zone, "zone", "", "zone")
 	f.StringVar(&controls, "controls", "", "control addresses, separated by commas")
 	f.StringVar(&s.crashPath, "crash", "", "requests whose path contains this crash the server")
+	f.StringVar(&s.leaveAt, "leave-at", "", "the address that gets the first DELETE")
 	f.StringVar(&s.crashTenant, "crash-tenant", "", "only requests of this tenant crash the server")
 	f.StringVar(&s.tailPath, "tail", "", "requests whose path contains this take -tail-ms")
 	f.Float64Var(&s.fail, "fail", 0, "the share of requests that fail after SIGUSR2, until the next one")
@@ -167,11 +168,23 @@
 	}
 }
 
-// leave ends the server, which has served for long enough after the acknowledgement that it is draining.
+// leave ends the server, which has served for long enough after the acknowledgement that it is draining. The call goes to the next
+// node if there is no acknowledgement within a second.
 func (s *server) leave(client *http.Client, to string) {
-	req, _ := http.NewRequest(http.MethodDelete, "http://"+to+"/instances/"+s.id, nil)
-	if resp, err := client.Do(req); err == nil {
+	for _, node := range append([]string{s.leaveAt, to}, s.controls...) {
+		if node == "" {
+			continue
+		}
+		s.write(event{What: "sends DELETE", From: node})
+		req, _ := http.NewRequest(http.MethodDelete, "http://"+node+"/instances/"+s.id, nil)
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
 		_ = resp.Body.Close()
+		if resp.StatusCode/100 == 2 {
+			break
+		}
 	}
 	s.write(event{What: "ends"})
 	os.Exit(0)
